--- /dev/null
+++ b/include/guavastair/ownership.hpp
@@ -0,0 +1,303 @@
+/// An agent's decisions about flows whose ends are elsewhere: which flows its
+/// backend server holds, whether the server may take another one, and what the
+/// agent believes of the server.
+///
+/// The agent is the only way to its server, so what is refused here never
+/// reaches the server, however old a balancer's view is.
+///
+/// Nothing here does I/O, reads a clock or writes a log. Times given to one
+/// object must not go back.
+
+#ifndef GUAVASTAIR_OWNERSHIP_HPP
+#define GUAVASTAIR_OWNERSHIP_HPP
+
+#include <guavastair/flow.hpp>
+#include <guavastair/peer.hpp>
+#include <guavastair/support.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace guavastair::ownership {
+
+// ------------------------------------------------------ opening budget
+
+/// Bounds how many flows open at a cold server in any span of one second.
+class opening_budget {
+public:
+    /// Openings that `rate` a second, times `factor`, plus `slack` allow in
+    /// one second, less one for the way to the server.
+    static std::uint32_t limit(double rate, double factor, double slack);
+
+    /// How many more may open at `now` if at most `allowed` open in a second.
+    std::uint32_t left(support::instant now, std::uint32_t allowed);
+
+    /// Counts one opening.
+    void spend(support::instant now);
+
+private:
+    void forget_old(support::instant now);
+
+    std::deque<support::instant> recent;
+};
+
+// ------------------------------------------------------ server monitor
+
+/// What a backend server says of itself.
+struct server_report {
+    /// Names one start of the server together with `born`.
+    std::string id;
+    /// When the server started, in milliseconds since the Unix epoch.
+    std::int64_t born = 0;
+    /// Grows with each report of one start.
+    std::int64_t sequence = 0;
+    bool draining = false;
+    std::uint32_t slots = 1;
+    /// How long the server stays cold.
+    support::duration warm_up_left;
+};
+
+enum class report_effect : std::uint8_t {
+    /// It is older than one already taken in and changes nothing.
+    outdated,
+    updated,
+    /// It comes from a later start than the one known before.
+    restarted,
+    /// It is the first since the agent began, or since the server had left.
+    first,
+};
+
+absl::string_view to_string(report_effect effect);
+
+struct monitor_settings {
+    /// Time between two reports of the server.
+    support::duration report_interval = support::seconds(1);
+    /// Reports may miss their time by this much.
+    support::duration report_slack = support::milliseconds(400);
+    /// An opening packet or request that the server has not reacted to for so
+    /// long makes it suspect.
+    support::duration reaction_time = support::milliseconds(250);
+    /// Least time between two probes.
+    support::duration probe_interval = support::milliseconds(200);
+};
+
+/// Judges from reports, packets and probes whether the server is there.
+class server_monitor {
+public:
+    server_monitor(monitor_settings chosen, support::instant now);
+
+    /// Takes a report. `knows_first` tells whether `report` is the first that
+    /// its start ever sent, so the agent has seen the whole life of the server.
+    report_effect on_report(support::instant now, const server_report& report);
+
+    /// The server says that it leaves for good.
+    void on_left(support::instant now);
+
+    /// The server sent a packet.
+    void on_server_packet(support::instant now);
+
+    /// A packet that the server must react to was delivered.
+    void on_delivered(support::instant now);
+
+    /// Ends of a probe: something listens, nothing does, or no word came.
+    void on_probe_accepted(support::instant now);
+    void on_probe_refused(support::instant now);
+    void on_probe_silent(support::instant now);
+
+    /// The process stood still: what was believed may no longer hold.
+    void on_resumed(support::instant now);
+
+    /// The server's data centre came back: it may have turned cold meanwhile.
+    void expect_cold(support::instant now);
+
+    /// Whether a probe is due; counts it as started.
+    bool start_probe(support::instant now);
+
+    peer::server_condition condition() const;
+
+    /// Whether the server may be cold at `now`.
+    bool is_cold(support::instant now) const;
+
+    std::uint32_t slots() const;
+
+    /// The last report taken in, if any.
+    const std::optional<server_report>& last_report() const;
+
+    /// Whether no report has come for longer than the server's interval and
+    /// slack allow.
+    bool is_overdue(support::instant now) const;
+
+private:
+    bool is_suspect(support::instant now) const;
+
+    monitor_settings settings;
+    peer::server_condition state = peer::server_condition::unknown;
+    std::optional<server_report> last;
+    support::instant last_heard;
+    support::instant last_report_at;
+    support::instant last_probe;
+    std::optional<support::instant> unanswered_since;
+    /// Empty while it is not known when the server will be warm.
+    std::optional<support::instant> warm_at;
+    int silent_probes = 0;
+};
+
+// --------------------------------------------------------- owner table
+
+enum class gate_answer : std::uint8_t {
+    take,
+    /// The server could, but another would answer sooner.
+    prefer_other,
+    /// The server must not or cannot.
+    refuse,
+};
+
+/// Why openings are not taken here; the names are those of logs and metrics.
+enum class gate_reason : std::uint8_t {
+    open,
+    no_configuration,
+    unconfirmed,
+    no_route,
+    foreign_service,
+    withdrawn,
+    server_unknown,
+    draining,
+    silent,
+    gone,
+    cold,
+    busy,
+    full,
+};
+
+/// Number of values in gate_reason.
+inline constexpr std::size_t gate_reason_count = 13;
+
+absl::string_view to_string(gate_reason reason);
+
+struct gate_state {
+    gate_answer answer = gate_answer::refuse;
+    gate_reason reason = gate_reason::open;
+};
+
+enum class action_kind : std::uint8_t {
+    /// Hand the packet to the server.
+    deliver,
+    /// Send the packet to `next` with `candidates`.
+    pass_on,
+    /// Tell the balancer that the flow is not here.
+    answer_absent,
+    /// Reset the flow towards its caller.
+    reset,
+    drop,
+};
+
+absl::string_view to_string(action_kind kind);
+
+/// Why an agent decided so; for the log line.
+enum class basis : std::uint8_t {
+    owned,
+    opened,
+    repeated_opening,
+    passed,
+    turned_away,
+    /// The server's word is awaited: the agent does not know its flows yet.
+    asked_server,
+    not_here,
+    /// The flow was here and ended with its server.
+    lost_with_server,
+    returned_by_server,
+    table_full,
+};
+
+absl::string_view to_string(basis why);
+
+struct action {
+    action_kind kind = action_kind::drop;
+    basis why = basis::not_here;
+    /// For pass_on.
+    support::endpoint next;
+    std::vector<support::endpoint> candidates;
+    /// For pass_on and answer_absent: the balancer concerned.
+    support::endpoint balancer;
+    /// The balancer should hear that the flow lives here.
+    bool tell_owned = false;
+    /// For answer_absent: whether the balancer needs the packet back.
+    bool give_back = false;
+};
+
+/// A flow that is to be reset towards its caller.
+struct reset_order {
+    flow::flow_key key;
+    /// The sequence number for the reset.
+    std::uint32_t sequence = 0;
+};
+
+struct owner_settings {
+    std::size_t max_flows = 65'536;
+    /// Flows known not to be here, or lost, that are remembered.
+    std::size_t max_remembered = 16'384;
+    /// An opening that the server has not answered is forgotten.
+    support::duration opening_timeout = support::seconds(3);
+    /// A flow without packets is forgotten.
+    support::duration idle_timeout = support::seconds(60);
+    /// An ended flow is kept for late packets.
+    support::duration ended_timeout = support::seconds(4);
+    /// No flow is older, so an agent this old knows all of its server's.
+    support::duration longest_flow = support::seconds(60);
+    /// A request without an answer counts as in progress at most so long.
+    support::duration longest_request = support::seconds(10);
+};
+
+/// The flows that the server holds, as far as this agent has seen.
+class owner_table {
+public:
+    owner_table(owner_settings chosen, support::instant now);
+    ~owner_table();
+    owner_table(const owner_table&) = delete;
+    owner_table& operator=(const owner_table&) = delete;
+
+    /// An opening packet came from `balancer`; `candidates` are to be tried
+    /// after this agent. `was_passed` tells that another agent sent it here.
+    action on_opening(support::instant now, const flow::packet& packet,
+                      const gate_state& gate, support::endpoint balancer,
+                      std::vector<support::endpoint> candidates,
+                      bool was_passed);
+
+    /// Any other packet of a caller came from `balancer`.
+    action on_packet(support::instant now, const flow::packet& packet,
+                     support::endpoint balancer, bool locating);
+
+    /// The server gave a packet back that it has no flow for.
+    action on_returned(support::instant now, const flow::packet& packet);
+
+    /// The server sent a packet to the caller.
+    void on_server_packet(support::instant now, const flow::packet& packet);
+
+    /// The server is gone or is another one: none of the flows lives on.
+    /// Returns the flows whose callers must hear of it.
+    std::vector<reset_order> on_server_lost(support::instant now);
+
+    /// The agent has seen the server start: it knows all of its flows.
+    void set_complete();
+    bool is_complete(support::instant now) const;
+
+    /// Forgets what has expired. Call it several times a second: it also
+    /// averages the work in progress.
+    void tick(support::instant now);
+
+    bool owns(const flow::flow_key& key) const;
+    peer::load_report load() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace guavastair::ownership
+
+#endif
--- /dev/null
+++ b/include/guavastair/peer.hpp
@@ -0,0 +1,164 @@
+/// Messages between balancers and agents on a platform where the ends of a
+/// flow are not ours: packets on their way, where a flow lives, and what each
+/// process reports about itself.
+///
+/// Messages are Cap'n Proto. Decoding bounds what it reads; anything malformed
+/// is an error, never a crash.
+
+#ifndef GUAVASTAIR_PEER_HPP
+#define GUAVASTAIR_PEER_HPP
+
+#include <guavastair/flow.hpp>
+#include <guavastair/support.hpp>
+
+#include <absl/strings/string_view.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace guavastair::peer {
+
+/// Largest message, in bytes; longer than a carried packet and its list.
+inline constexpr std::size_t max_message_size = 2048;
+
+/// Most agents listed in one message.
+inline constexpr std::size_t max_listed = 16;
+
+/// What an agent knows of its backend server.
+enum class server_condition : std::uint8_t {
+    /// Nothing yet.
+    unknown,
+    ready,
+    draining,
+    /// It ought to have spoken and has not.
+    silent,
+    /// It has left or crashed.
+    gone,
+};
+
+absl::string_view to_string(server_condition condition);
+
+/// How busy a backend server is.
+struct load_report {
+    /// Requests it can work on at a time.
+    std::uint32_t slots = 1;
+    /// Flows with a request that has no answer yet.
+    std::uint32_t in_progress = 0;
+    /// Mean of in_progress over the last second or so, in thousandths.
+    std::uint32_t mean_in_progress = 0;
+    std::uint32_t flows = 0;
+
+    bool operator==(const load_report&) const = default;
+};
+
+/// An agent's word about itself and its server.
+struct agent_report {
+    /// Where the agent receives messages; identifies it.
+    support::endpoint agent;
+    support::service_name service;
+    support::data_centre_name data_centre;
+    server_condition condition = server_condition::unknown;
+    /// Whether an opening packet would be taken now.
+    bool takes_openings = false;
+    /// Openings that a cold server still bears in this second; the largest
+    /// value if it is warm.
+    std::uint32_t opening_budget = UINT32_MAX;
+    load_report load;
+    /// Identifies this run of the agent.
+    std::uint64_t run = 0;
+    /// The agent is about to restart; its server and flows live on.
+    bool restarting = false;
+
+    bool operator==(const agent_report&) const = default;
+};
+
+/// What a process holds of the operators' decisions.
+struct view_summary {
+    support::revision as_of;
+    std::uint64_t digest = 0;
+
+    bool operator==(const view_summary&) const = default;
+};
+
+/// A balancer asks an agent for its report. Also tells the agent that the
+/// balancer is there.
+struct ping {
+    std::uint32_t sequence = 0;
+    view_summary view;
+    /// Balancers that the sender knows, itself left out.
+    std::vector<support::endpoint> balancers;
+
+    bool operator==(const ping&) const = default;
+};
+
+/// Answers a ping; with sequence 0 it was sent unasked.
+struct pong {
+    std::uint32_t sequence = 0;
+    view_summary view;
+    agent_report report;
+    /// Balancers that the agent heard of lately.
+    std::vector<support::endpoint> balancers;
+
+    bool operator==(const pong&) const = default;
+};
+
+/// How a packet is to be treated.
+enum class carry_kind : std::uint8_t {
+    /// It opens a flow: take it or pass it to the first of `candidates`.
+    open,
+    /// The flow is believed to live at the receiver.
+    deliver,
+    /// Several agents get this: only the owner of the flow delivers it.
+    locate,
+};
+
+absl::string_view to_string(carry_kind kind);
+
+/// A packet on its way to the owner of its flow.
+struct carry {
+    carry_kind kind = carry_kind::deliver;
+    /// The balancer that hears where the flow lives.
+    support::endpoint balancer;
+    /// For open: agents to try next, the first one first.
+    std::vector<support::endpoint> candidates;
+    /// The packet as it came.
+    std::span<const std::byte> packet;
+};
+
+/// The flow lives at the sender.
+struct owned {
+    flow::flow_key key;
+    /// The agent, as in its report.
+    support::endpoint agent;
+
+    bool operator==(const owned&) const = default;
+};
+
+/// The flow does not live at the sender.
+struct absent {
+    flow::flow_key key;
+    support::endpoint agent;
+    /// Whether the flow was here and has ended with its server.
+    bool lost = false;
+    /// For a `deliver`: the packet, to be carried elsewhere.
+    std::span<const std::byte> packet;
+};
+
+using message = std::variant<ping, pong, carry, owned, absent>;
+
+/// Encodes into `out` and returns the size. Everything that honest senders
+/// make fits.
+std::size_t encode(const message& body,
+                   std::span<std::byte, max_message_size> out);
+
+/// Decodes what encode() made. Packets point into `data`, which must be
+/// aligned to 8 bytes. Fails with error_kind::invalid_input.
+absl::StatusOr<message> decode(std::span<const std::byte> data);
+
+} // namespace guavastair::peer
+
+#endif
--- a/lib/flow/recent_map.hpp
+++ b/include/guavastair/recent_map.hpp
@@ -1,8 +1,8 @@
 /// A bounded map from a 64-bit key, such as a caller, that forgets the entries
 /// unused for longest.
 
-#ifndef GUAVASTAIR_LIB_FLOW_RECENT_MAP_HPP
-#define GUAVASTAIR_LIB_FLOW_RECENT_MAP_HPP
+#ifndef GUAVASTAIR_RECENT_MAP_HPP
+#define GUAVASTAIR_RECENT_MAP_HPP
 
 #include <guavastair/support.hpp>
 
@@ -14,14 +14,15 @@
 
 #include <cstdint>
 
-namespace guavastair::flow {
+namespace guavastair::cache {
 
-/// Key of a recent_map: a caller's address and port, or a member id.
+/// Key of a recent_map: an endpoint, a member id or a hash.
 using map_key = std::uint64_t;
 
-inline map_key pack(support::endpoint caller) noexcept {
+/// An endpoint as a key.
+inline map_key pack(support::endpoint at) noexcept {
     constexpr int port_bits = 16;
-    return (map_key{caller.address.value} << port_bits) | caller.port;
+    return (map_key{at.address.value} << port_bits) | at.port;
 }
 
 /// Keeps at most `capacity` entries, in the order of their last use.
@@ -107,6 +108,6 @@
     support::duration timeout;
 };
 
-} // namespace guavastair::flow
+} // namespace guavastair::cache
 
 #endif
--- /dev/null
+++ b/include/guavastair/relay.hpp
@@ -0,0 +1,22 @@
+/// The two processes that carry flows whose ends are elsewhere: a balancer on
+/// an entry VM and an agent beside a backend server. Each is one thread round
+/// an event loop; the decisions are those of the steering and ownership
+/// libraries.
+
+#ifndef GUAVASTAIR_RELAY_HPP
+#define GUAVASTAIR_RELAY_HPP
+
+#include <guavastair/support.hpp>
+
+namespace guavastair::relay {
+
+/// Runs a balancer with the platform's settings until SIGTERM or SIGINT.
+/// Errors: error_kind::invalid_input for settings, error_kind::address_in_use.
+absl::Status run_balancer();
+
+/// Runs an agent, as run_balancer().
+absl::Status run_agent();
+
+} // namespace guavastair::relay
+
+#endif
--- /dev/null
+++ b/include/guavastair/steering.hpp
@@ -0,0 +1,242 @@
+/// A balancer's decisions on a platform where the ends of a flow are
+/// elsewhere: which agents are there, which of them is asked to take a new
+/// flow, and where a flow lives that this balancer has not seen before.
+///
+/// Locations are hints that the owners give; a wrong or missing one leads to a
+/// search among the agents that may own the flow. The end of a search is no
+/// proof that the flow is gone.
+///
+/// Nothing here does I/O, reads a clock or writes a log. Times given to one
+/// object must not go back.
+
+#ifndef GUAVASTAIR_STEERING_HPP
+#define GUAVASTAIR_STEERING_HPP
+
+#include <guavastair/flow.hpp>
+#include <guavastair/peer.hpp>
+#include <guavastair/routing.hpp>
+#include <guavastair/support.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace guavastair::steering {
+
+// ------------------------------------------------------------- members
+
+struct member_settings {
+    /// Time between two pings of an agent that answers.
+    support::duration ping_interval = support::milliseconds(250);
+    /// Time between two pings of one that has not answered for long.
+    support::duration absent_ping_interval = support::milliseconds(1000);
+    /// Silence after which an agent gets no opening packets.
+    support::duration dark_after = support::milliseconds(600);
+    /// How long an agent that is neither listed nor answering is remembered.
+    support::duration forget_after = support::seconds(60);
+    std::size_t max_members = 4096;
+};
+
+/// One agent as a balancer knows it.
+struct member {
+    peer::agent_report report;
+    /// Whether the store lists it.
+    bool listed = false;
+    bool answered = false;
+    support::instant first_seen;
+    support::instant last_answer;
+    support::instant last_ping;
+    /// Openings sent to it since its last report.
+    std::uint32_t openings_since_report = 0;
+};
+
+/// The agents that a balancer knows, from the store and from their own word.
+class member_table {
+public:
+    explicit member_table(member_settings chosen);
+    ~member_table();
+    member_table(const member_table&) = delete;
+    member_table& operator=(const member_table&) = delete;
+
+    /// The store lists exactly these agents now.
+    void set_listed(support::instant now,
+                    std::span<const peer::agent_report> listed);
+
+    /// The store lists `report` or, if `present` is false, no longer does.
+    void set_listed(support::instant now, const peer::agent_report& report,
+                    bool present);
+
+    /// An agent reported about itself.
+    void on_report(support::instant now, const peer::agent_report& report);
+
+    /// An opening packet was sent to `agent`.
+    void on_opening_sent(support::endpoint agent);
+
+    /// The process stood still: silence in that time says nothing.
+    void on_resumed(support::instant now);
+
+    /// Agents to ping now; counts them as pinged.
+    std::vector<support::endpoint> due_for_ping(support::instant now);
+
+    /// Forgets members that have been gone for long.
+    void tick(support::instant now);
+
+    const member* find(support::endpoint agent) const;
+    std::size_t size() const;
+
+    /// Whether the agent has answered lately.
+    bool is_present(support::instant now, const member& each) const;
+
+    /// Whether the agent would take an opening packet, as far as is known.
+    bool takes_openings(support::instant now, const member& each) const;
+
+    /// Members of `service`. Valid until the table changes.
+    std::vector<const member*>
+    members_of(const support::service_name& service) const;
+
+    /// Every member. Valid until the table changes.
+    std::vector<const member*> all() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> self;
+};
+
+// ------------------------------------------------------------- openings
+
+struct opening_settings {
+    support::data_centre_name own_data_centre;
+    /// Most agents that one opening packet is offered to.
+    std::size_t max_candidates = 6;
+    /// How much busier, in requests for each slot, the own data centre's
+    /// choice must be for another data centre's to be preferred.
+    double spill_margin = 0.5;
+};
+
+/// The load of an agent's server in requests for each slot, openings on their
+/// way included.
+double load_of(const member& each);
+
+/// The agents to offer an opening packet to, the first one first: two chosen
+/// by the flow's hash and compared by load, then the others.
+std::vector<support::endpoint>
+choose_opening(support::instant now, const opening_settings& settings,
+               const member_table& members, const routing::routing_state& rules,
+               const support::service_name& service, std::uint64_t flow_hash);
+
+/// Every agent that may own a flow of `service` addresses, the likeliest
+/// first: those that choose_opening() compares first for this hash.
+std::vector<support::endpoint>
+search_order(support::instant now, const opening_settings& settings,
+             const member_table& members,
+             std::span<const support::service_name> services,
+             std::uint64_t flow_hash);
+
+// ----------------------------------------------------------- dispatcher
+
+enum class dispatch_kind : std::uint8_t {
+    /// Send the packet to each of `to`.
+    send,
+    /// The packet waits until the search ends.
+    hold,
+    reset,
+    drop,
+};
+
+absl::string_view to_string(dispatch_kind kind);
+
+enum class dispatch_basis : std::uint8_t {
+    opening,
+    repeated_opening,
+    located,
+    searching,
+    no_route,
+    no_configuration,
+    no_candidate,
+    held,
+    search_failed,
+    overload,
+};
+
+absl::string_view to_string(dispatch_basis basis);
+
+struct dispatch {
+    dispatch_kind kind = dispatch_kind::drop;
+    dispatch_basis basis = dispatch_basis::no_route;
+    peer::carry_kind carry = peer::carry_kind::deliver;
+    std::vector<support::endpoint> to;
+    /// For openings: agents to try after `to`.
+    std::vector<support::endpoint> candidates;
+};
+
+/// A held packet that goes on, or another step of a search.
+struct released {
+    flow::flow_key key;
+    dispatch step;
+    std::vector<std::byte> packet;
+};
+
+struct dispatcher_settings {
+    opening_settings opening;
+    std::size_t max_locations = 65'536;
+    /// A location that was not used for so long is forgotten.
+    support::duration location_lifetime = support::seconds(60);
+    std::size_t max_searches = 4'096;
+    /// Packets held for one flow.
+    std::size_t max_held = 8;
+    /// Agents asked in the first step of a search and in each further one.
+    std::size_t first_step = 3;
+    std::size_t further_step = 12;
+    /// A step that is not answered in full goes on after this long.
+    support::duration step_time = support::milliseconds(40);
+    /// How long a search waits for the last agents it asked: less than the
+    /// time after which a caller sends its packet again.
+    support::duration last_step_time = support::milliseconds(150);
+    /// How fresh the configuration must be to say that there is no route.
+    support::duration certain_for = support::milliseconds(3500);
+};
+
+/// Decides about every packet that the platform's routers hand to a balancer.
+class dispatcher {
+public:
+    /// `members` and `rules` must outlive the dispatcher.
+    dispatcher(dispatcher_settings chosen, member_table& members,
+               const routing::routing_state& rules);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    /// A caller's packet; `bytes` is the whole datagram.
+    dispatch on_packet(support::instant now, const flow::packet& packet,
+                       std::span<const std::byte> bytes);
+
+    /// An agent owns the flow. Returns what waited for this.
+    std::vector<released> on_owned(support::instant now,
+                                   const flow::flow_key& key,
+                                   support::endpoint agent);
+
+    /// An agent does not own the flow; `bytes` is the packet if it came back.
+    std::vector<released> on_absent(support::instant now,
+                                    const flow::flow_key& key,
+                                    support::endpoint agent, bool lost,
+                                    std::span<const std::byte> bytes);
+
+    /// Goes on with searches whose step has lasted long enough.
+    std::vector<released> tick(support::instant now);
+
+    /// Whether searches are under way, so that tick() is due soon.
+    bool searching() const;
+
+    std::size_t location_count() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace guavastair::steering
+
+#endif
--- a/include/guavastair/support.hpp
+++ b/include/guavastair/support.hpp
@@ -42,6 +42,10 @@
     return {span.ms * factor};
 }
 
+constexpr duration operator/(duration span, std::int64_t divisor) {
+    return {span.ms / divisor};
+}
+
 constexpr duration milliseconds(std::int64_t count) {
     return {count};
 }
--- a/lib/flow/flow_table.cpp
+++ b/lib/flow/flow_table.cpp
@@ -1,7 +1,7 @@
-#include "recent_map.hpp"
 #include "search.hpp"
 
 #include <guavastair/flow.hpp>
+#include <guavastair/recent_map.hpp>
 
 #include <absl/container/flat_hash_set.h>
 
@@ -9,6 +9,10 @@
 
 namespace guavastair::flow {
 
+using cache::map_key;
+using cache::pack;
+using cache::recent_map;
+
 /// A flow whose opening packet was delivered here.
 struct half_open_flow {
     /// Of the SYN-ACK, once the TCP stack has sent it.
--- /dev/null
+++ b/lib/http/message_parser.hpp
@@ -0,0 +1,54 @@
+/// One HTTP/1.1 message from its bytes, by http_parser.
+
+#ifndef GUAVASTAIR_LIB_HTTP_MESSAGE_PARSER_HPP
+#define GUAVASTAIR_LIB_HTTP_MESSAGE_PARSER_HPP
+
+#include <absl/strings/string_view.h>
+#include <http_parser.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace guavastair::http {
+
+/// Reads one message after another from a stream of bytes.
+class message_parser {
+public:
+    enum class side : std::uint8_t { request, response };
+    enum class state : std::uint8_t { incomplete, complete, broken };
+
+    explicit message_parser(side reads);
+    message_parser(const message_parser&) = delete;
+    message_parser& operator=(const message_parser&) = delete;
+
+    /// Takes bytes up to the end of the message under way and adds how many
+    /// that were to `consumed`.
+    state feed(absl::string_view bytes, std::size_t& consumed);
+
+    /// Makes ready for the next message.
+    void restart();
+
+    int status() const;
+    std::string method() const;
+    const std::string& target() const;
+    /// Gives the body away.
+    std::string take_body();
+    bool keeps_alive() const;
+
+private:
+    static int on_target(http_parser* parser, const char* at, size_t size);
+    static int on_body(http_parser* parser, const char* at, size_t size);
+    static int on_complete(http_parser* parser);
+
+    side reading;
+    http_parser parser{};
+    std::string target_text;
+    std::string body_text;
+    bool done = false;
+    bool alive = false;
+};
+
+} // namespace guavastair::http
+
+#endif
--- /dev/null
+++ b/lib/http/server.cpp
@@ -0,0 +1,199 @@
+#include "message_parser.hpp"
+#include "socket.hpp"
+
+#include <guavastair/http.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <unordered_map>
+
+namespace guavastair::http {
+
+/// Connections waiting to be accepted: more than the callers of one process.
+static constexpr int listen_backlog = 64;
+
+/// Connections served at a time; further ones are closed.
+static constexpr std::size_t max_connections = 256;
+
+/// A connection on which no request comes for so long is closed.
+static constexpr support::duration idle_timeout = support::seconds(30);
+
+namespace {
+
+struct connection {
+    descriptor socket;
+    message_parser parser{message_parser::side::request};
+    std::string received;
+    std::string to_send;
+    bool close_when_sent = false;
+    support::instant last_used;
+};
+
+std::string encode(const response& answer, bool keep_alive) {
+    return absl::StrCat(
+        "HTTP/1.1 ", answer.status, " ", answer.status == 200 ? "OK" : "Status",
+        "\r\nContent-Type: ", answer.content_type,
+        "\r\nContent-Length: ", answer.body.size(),
+        keep_alive ? "" : "\r\nConnection: close", "\r\n\r\n", answer.body);
+}
+
+} // namespace
+
+class server::implementation {
+public:
+    implementation(net::event_loop& chosen, handler call)
+        : loop(chosen), answer(std::move(call)) {}
+
+    ~implementation() {
+        this->loop.cancel(this->sweep_timer);
+        for (const auto& [number, each] : this->connections) {
+            this->loop.unwatch(number);
+        }
+        if (this->listener.is_open()) {
+            this->loop.unwatch(this->listener.get());
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    absl::Status listen(support::endpoint at) {
+        this->listener = open_tcp();
+        const int on = 1;
+        setsockopt(this->listener.get(), SOL_SOCKET, SO_REUSEADDR, &on,
+                   sizeof on);
+        const sockaddr_in address = to_sockaddr(at);
+        const auto* raw = reinterpret_cast<const sockaddr*>(&address);
+        if (bind(this->listener.get(), raw, sizeof address) != 0 ||
+            ::listen(this->listener.get(), listen_backlog) != 0) {
+            const auto kind = errno == EADDRINUSE
+                                  ? support::error_kind::address_in_use
+                                  : support::error_kind::invalid_input;
+            return support::make_error(
+                kind, absl::StrCat("cannot listen at ", support::to_string(at),
+                                   ": ", std::strerror(errno)));
+        }
+        this->sweep_timer =
+            this->loop.call_every(idle_timeout, [this] { this->close_idle(); });
+        return this->loop.watch(this->listener.get(), {.readable = true},
+                                [this](net::readiness) { this->accept_all(); });
+    }
+
+private:
+    void accept_all() {
+        while (true) {
+            const int number = accept4(this->listener.get(), nullptr, nullptr,
+                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (number < 0) {
+                return;
+            }
+            descriptor socket(number);
+            if (this->connections.size() >= max_connections) {
+                continue;
+            }
+            const absl::Status watched =
+                this->loop.watch(number, {.readable = true},
+                                 [this, number](net::readiness ready) {
+                                     this->on_ready(number, ready);
+                                 });
+            if (!watched.ok()) {
+                continue;
+            }
+            connection& added = this->connections[number];
+            added.socket = std::move(socket);
+            added.last_used = this->loop.now();
+        }
+    }
+
+    void on_ready(int number, net::readiness ready) {
+        const auto found = this->connections.find(number);
+        if (found == this->connections.end()) {
+            return;
+        }
+        connection& each = found->second;
+        if (ready.readable || ready.failed) {
+            const io_result result = read_available(number, each.received);
+            if (result == io_result::ended || result == io_result::failed) {
+                this->close(number);
+                return;
+            }
+            if (!this->answer_requests(each)) {
+                this->close(number);
+                return;
+            }
+        }
+        this->send_pending(number, each);
+    }
+
+    /// False if the peer sent something that is no request.
+    bool answer_requests(connection& each) {
+        while (!each.received.empty() && !each.close_when_sent) {
+            std::size_t consumed = 0;
+            const auto state = each.parser.feed(each.received, consumed);
+            each.received.erase(0, consumed);
+            if (state == message_parser::state::broken) {
+                return false;
+            }
+            if (state == message_parser::state::incomplete) {
+                return true;
+            }
+            each.last_used = this->loop.now();
+            const bool keep_alive = each.parser.keeps_alive();
+            const request ask{each.parser.method(), each.parser.target(),
+                              each.parser.take_body()};
+            each.to_send += encode(this->answer(ask), keep_alive);
+            each.close_when_sent = !keep_alive;
+            each.parser.restart();
+        }
+        return true;
+    }
+
+    void send_pending(int number, connection& each) {
+        const io_result result = write_pending(number, each.to_send);
+        const bool finished = each.to_send.empty() && each.close_when_sent;
+        if (result == io_result::failed || finished) {
+            this->close(number);
+            return;
+        }
+        this->loop.set_interest(
+            number, {.readable = true, .writable = !each.to_send.empty()});
+    }
+
+    void close(int number) {
+        this->loop.unwatch(number);
+        this->connections.erase(number);
+    }
+
+    void close_idle() {
+        const support::instant limit = this->loop.now() - idle_timeout;
+        for (auto each = this->connections.begin();
+             each != this->connections.end();) {
+            const int number = each->first;
+            const bool idle = each->second.last_used < limit;
+            ++each;
+            if (idle) {
+                this->close(number);
+            }
+        }
+    }
+
+    net::event_loop& loop;
+    handler answer;
+    descriptor listener;
+    net::timer_id sweep_timer;
+    std::unordered_map<int, connection> connections;
+};
+
+server::server(net::event_loop& loop, handler answer)
+    : self(std::make_unique<implementation>(loop, std::move(answer))) {}
+
+server::~server() = default;
+
+absl::Status server::listen(support::endpoint at) {
+    return this->self->listen(at);
+}
+
+} // namespace guavastair::http
--- /dev/null
+++ b/lib/line_log/writer.cpp
@@ -0,0 +1,104 @@
+#include <guavastair/line_log.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace guavastair::line_log {
+
+static constexpr support::duration one_second = support::seconds(1);
+
+writer::writer(settings wanted, int to)
+    : chosen(std::move(wanted)), descriptor(to) {}
+
+void writer::append(std::int64_t wall_ms, logging::level severity,
+                    const logging::line& content) {
+    if (this->pending.size() + content.text().size() >
+        this->chosen.buffer_size) {
+        ++this->dropped;
+        return;
+    }
+    ++this->lines;
+    absl::StrAppend(&this->pending, "time_ms=", wall_ms,
+                    " level=", logging::to_string(severity),
+                    " node=", this->chosen.node.value, " ", content.text(),
+                    "\n");
+}
+
+void writer::begin_second(support::instant now, std::int64_t wall_ms) {
+    this->second_began = now;
+    for (auto& [event, count] : this->counts) {
+        if (count.left_out > 0) {
+            logging::line summary("lines_left_out");
+            summary.add("of", event).add("count", count.left_out);
+            this->append(wall_ms, logging::level::warn, summary);
+        }
+        count = {};
+    }
+}
+
+void writer::write(support::instant now, std::int64_t wall_ms,
+                   logging::level severity, absl::string_view event,
+                   const logging::line& content) {
+    if (severity < this->chosen.least) {
+        return;
+    }
+    if (now - this->second_began >= one_second) {
+        this->begin_second(now, wall_ms);
+    }
+    auto found =
+        this->counts.find(std::string_view(event.data(), event.size()));
+    if (found == this->counts.end()) {
+        found = this->counts.emplace(std::string(event), event_count{}).first;
+    }
+    event_count& count = found->second;
+    if (count.lines >= this->chosen.lines_per_event) {
+        ++count.left_out;
+        ++this->dropped;
+        return;
+    }
+    ++count.lines;
+    this->append(wall_ms, severity, content);
+}
+
+void writer::flush() {
+    while (!this->pending.empty()) {
+        const ssize_t size = ::write(this->descriptor, this->pending.data(),
+                                     this->pending.size());
+        if (size > 0) {
+            this->pending.erase(0, static_cast<std::size_t>(size));
+            continue;
+        }
+        if (size < 0 && errno == EINTR) {
+            continue;
+        }
+        if (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+            // Nobody will ever read this descriptor.
+            this->pending.clear();
+        }
+        return;
+    }
+}
+
+std::uint64_t writer::left_out() const {
+    return this->dropped;
+}
+
+std::uint64_t writer::written() const {
+    return this->lines;
+}
+
+absl::Status make_non_blocking(int descriptor) {
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags < 0 || fcntl(descriptor, F_SETFL, flags | O_NONBLOCK) < 0) {
+        return support::make_error(support::error_kind::internal,
+                                   absl::StrCat("descriptor ", descriptor, ": ",
+                                                std::strerror(errno)));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace guavastair::line_log
--- a/lib/logging/set_up.cpp
+++ b/lib/logging/set_up.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-constexpr std::array<absl::string_view, 6> level_names{"trace", "debug", "info",
-                                                       "warn",  "error", "off"};
-
 constexpr std::array<absl::string_view, 3> channel_names{"process", "decision",
                                                          "control"};
 
@@ -71,26 +68,10 @@
 
 } // namespace
 
-absl::string_view to_string(level value) {
-    return level_names[static_cast<std::size_t>(value)];
-}
-
 absl::string_view to_string(channel value) {
     return channel_names[static_cast<std::size_t>(value)];
 }
 
-absl::StatusOr<level> parse_level(absl::string_view text) {
-    for (std::size_t i = 0; i < level_names.size(); ++i) {
-        if (level_names[i] == text) {
-            return static_cast<level>(i);
-        }
-    }
-    return support::make_error(
-        support::error_kind::invalid_input,
-        absl::StrCat("log level \"", text,
-                     "\" is none of trace, debug, info, warn, error, off"));
-}
-
 absl::Status set_up(const options& chosen) {
     logger_table& table = loggers();
     if (!chosen.file.empty() && !can_append_to(chosen.file)) {
--- /dev/null
+++ b/lib/ownership/server_monitor.cpp
@@ -0,0 +1,169 @@
+#include <guavastair/ownership.hpp>
+
+#include <array>
+#include <tuple>
+
+namespace guavastair::ownership {
+
+using peer::server_condition;
+
+/// Added to the time that a server says it stays cold: its word may be late.
+static constexpr support::duration warm_up_margin = support::milliseconds(150);
+
+/// Probes without any word after which a server that also misses its reports
+/// counts as gone.
+static constexpr int silent_probes_until_gone = 2;
+
+static constexpr std::array<absl::string_view, 4> effect_names{
+    "outdated", "updated", "restarted", "first"};
+
+absl::string_view to_string(report_effect effect) {
+    return effect_names[static_cast<std::size_t>(effect)];
+}
+
+server_monitor::server_monitor(monitor_settings chosen, support::instant now)
+    : settings(chosen), last_heard(now), last_report_at(now),
+      last_probe(now - chosen.probe_interval) {}
+
+report_effect server_monitor::on_report(support::instant now,
+                                        const server_report& report) {
+    const bool is_first =
+        !this->last.has_value() || this->state == server_condition::gone;
+    bool restarted = false;
+    if (this->last.has_value()) {
+        const auto order = [](const server_report& each) {
+            return std::tuple(each.born, each.sequence);
+        };
+        restarted =
+            report.born > this->last->born ||
+            (report.born == this->last->born && report.id != this->last->id);
+        if (!restarted && order(report) <= order(*this->last)) {
+            return report_effect::outdated;
+        }
+    }
+    this->last = report;
+    this->last_heard = now;
+    this->last_report_at = now;
+    this->unanswered_since.reset();
+    this->silent_probes = 0;
+    this->warm_at = report.warm_up_left.ms > 0
+                        ? now + report.warm_up_left + warm_up_margin
+                        : now;
+    this->state =
+        report.draining ? server_condition::draining : server_condition::ready;
+    if (restarted) {
+        return report_effect::restarted;
+    }
+    return is_first ? report_effect::first : report_effect::updated;
+}
+
+void server_monitor::on_left(support::instant now) {
+    this->last_heard = now;
+    this->state = server_condition::gone;
+}
+
+void server_monitor::on_server_packet(support::instant now) {
+    this->last_heard = now;
+    this->unanswered_since.reset();
+    this->silent_probes = 0;
+    const bool was_missed = this->state == server_condition::silent ||
+                            this->state == server_condition::unknown;
+    if (was_missed) {
+        const bool drains = this->last.has_value() && this->last->draining;
+        this->state =
+            drains ? server_condition::draining : server_condition::ready;
+    }
+}
+
+void server_monitor::on_delivered(support::instant now) {
+    if (!this->unanswered_since.has_value()) {
+        this->unanswered_since = now;
+    }
+}
+
+void server_monitor::on_probe_accepted(support::instant now) {
+    this->on_server_packet(now);
+}
+
+void server_monitor::on_probe_refused(support::instant /*now*/) {
+    if (this->state != server_condition::unknown) {
+        this->state = server_condition::gone;
+    }
+}
+
+void server_monitor::on_probe_silent(support::instant now) {
+    ++this->silent_probes;
+    if (this->state == server_condition::ready ||
+        this->state == server_condition::draining) {
+        this->state = server_condition::silent;
+    }
+    const bool given_up = this->silent_probes >= silent_probes_until_gone &&
+                          this->is_overdue(now);
+    if (this->state == server_condition::silent && given_up) {
+        this->state = server_condition::gone;
+    }
+}
+
+void server_monitor::on_resumed(support::instant now) {
+    this->last_heard = now;
+    this->last_report_at = now;
+    this->unanswered_since.reset();
+    this->silent_probes = 0;
+    this->warm_at.reset();
+    if (this->state == server_condition::ready) {
+        this->state = server_condition::unknown;
+    }
+}
+
+void server_monitor::expect_cold(support::instant /*now*/) {
+    this->warm_at.reset();
+}
+
+bool server_monitor::is_overdue(support::instant now) const {
+    return now - this->last_report_at >
+           this->settings.report_interval + this->settings.report_slack;
+}
+
+bool server_monitor::is_suspect(support::instant now) const {
+    switch (this->state) {
+    case server_condition::unknown:
+    case server_condition::silent:
+        return true;
+    case server_condition::gone:
+        return false;
+    case server_condition::ready:
+    case server_condition::draining:
+        break;
+    }
+    const bool no_reaction =
+        this->unanswered_since.has_value() &&
+        now - *this->unanswered_since > this->settings.reaction_time;
+    return no_reaction || this->is_overdue(now);
+}
+
+bool server_monitor::start_probe(support::instant now) {
+    if (!this->is_suspect(now) ||
+        now - this->last_probe < this->settings.probe_interval) {
+        return false;
+    }
+    this->last_probe = now;
+    return true;
+}
+
+server_condition server_monitor::condition() const {
+    return this->state;
+}
+
+bool server_monitor::is_cold(support::instant now) const {
+    return !this->warm_at.has_value() || now < *this->warm_at;
+}
+
+std::uint32_t server_monitor::slots() const {
+    return this->last.has_value() ? this->last->slots : 1;
+}
+
+const std::optional<server_report>& server_monitor::last_report() const {
+    return this->last;
+}
+
+} // namespace guavastair::ownership
--- /dev/null
+++ b/lib/peer/codec.cpp
@@ -0,0 +1,258 @@
+#include "peer.capnp.h"
+
+#include <guavastair/peer.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <array>
+#include <cassert>
+#include <cstring>
+
+namespace guavastair::peer {
+
+/// Words that an unpacked message may have read, lists counted again.
+static constexpr std::uint64_t max_words = 2 * max_message_size;
+static constexpr int max_depth = 6;
+/// Words of the builder's first segment: a whole message fits.
+static constexpr std::size_t first_segment_words = max_message_size / 8;
+
+static constexpr std::array<absl::string_view, 5> condition_names{
+    "unknown", "ready", "draining", "silent", "gone"};
+static constexpr std::array<absl::string_view, 3> carry_names{"open", "deliver",
+                                                              "locate"};
+
+absl::string_view to_string(server_condition condition) {
+    return condition_names[static_cast<std::size_t>(condition)];
+}
+
+absl::string_view to_string(carry_kind kind) {
+    return carry_names[static_cast<std::size_t>(kind)];
+}
+
+// -------------------------------------------------------------- encode
+
+static std::uint64_t pack(support::endpoint at) {
+    return (std::uint64_t{at.address.value} << 16) | at.port;
+}
+
+static support::endpoint unpack(std::uint64_t value) {
+    return {{static_cast<std::uint32_t>(value >> 16)},
+            static_cast<std::uint16_t>(value)};
+}
+
+template <typename List>
+static void write_list(List to, std::span<const support::endpoint> from) {
+    for (unsigned i = 0; i < to.size(); ++i) {
+        to.set(i, pack(from[i]));
+    }
+}
+
+static unsigned listed(std::span<const support::endpoint> from) {
+    return static_cast<unsigned>(std::min(from.size(), max_listed));
+}
+
+static void write_key(schema::FlowKey::Builder to, const flow::flow_key& key) {
+    to.setCaller(pack(key.caller));
+    to.setService(pack(key.service));
+}
+
+static void write_view(schema::View::Builder to, const view_summary& view) {
+    to.setAsOf(view.as_of.value);
+    to.setDigest(view.digest);
+}
+
+static capnp::Data::Reader to_data(std::span<const std::byte> bytes) {
+    return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+static void write_body(schema::Message::Builder root, const ping& body) {
+    auto to = root.initPing();
+    to.setSequence(body.sequence);
+    write_view(to.initView(), body.view);
+    write_list(to.initBalancers(listed(body.balancers)), body.balancers);
+}
+
+static void write_report(schema::Report::Builder to, const agent_report& from) {
+    to.setAgent(pack(from.agent));
+    to.setService(from.service.value);
+    to.setDataCentre(from.data_centre.value);
+    to.setCondition(static_cast<std::uint8_t>(from.condition));
+    to.setTakesOpenings(from.takes_openings);
+    to.setOpeningBudget(from.opening_budget);
+    to.setSlots(from.load.slots);
+    to.setInProgress(from.load.in_progress);
+    to.setMeanInProgress(from.load.mean_in_progress);
+    to.setFlows(from.load.flows);
+    to.setRun(from.run);
+    to.setRestarting(from.restarting);
+}
+
+static void write_body(schema::Message::Builder root, const pong& body) {
+    auto to = root.initPong();
+    to.setSequence(body.sequence);
+    write_view(to.initView(), body.view);
+    write_report(to.initReport(), body.report);
+    write_list(to.initBalancers(listed(body.balancers)), body.balancers);
+}
+
+static void write_body(schema::Message::Builder root, const carry& body) {
+    auto to = root.initCarry();
+    to.setKind(static_cast<std::uint8_t>(body.kind));
+    to.setBalancer(pack(body.balancer));
+    write_list(to.initCandidates(listed(body.candidates)), body.candidates);
+    to.setPacket(to_data(body.packet));
+}
+
+static void write_body(schema::Message::Builder root, const owned& body) {
+    auto to = root.initOwned();
+    write_key(to.initKey(), body.key);
+    to.setAgent(pack(body.agent));
+}
+
+static void write_body(schema::Message::Builder root, const absent& body) {
+    auto to = root.initAbsent();
+    write_key(to.initKey(), body.key);
+    to.setAgent(pack(body.agent));
+    to.setLost(body.lost);
+    to.setPacket(to_data(body.packet));
+}
+
+std::size_t encode(const message& body,
+                   std::span<std::byte, max_message_size> out) {
+    std::array<capnp::word, first_segment_words> scratch{};
+    capnp::MallocMessageBuilder builder(
+        kj::arrayPtr(scratch.data(), scratch.size()));
+    const auto root = builder.initRoot<schema::Message>();
+    std::visit([&root](const auto& each) { write_body(root, each); }, body);
+
+    const std::size_t size =
+        capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+    assert(size <= out.size() && "an honest message fits");
+    kj::ArrayOutputStream stream(
+        kj::arrayPtr(reinterpret_cast<kj::byte*>(out.data()), out.size()));
+    capnp::writeMessage(stream, builder);
+    return size;
+}
+
+// -------------------------------------------------------------- decode
+
+static absl::Status malformed(absl::string_view why) {
+    return support::make_error(support::error_kind::invalid_input,
+                               absl::StrCat("malformed peer message: ", why));
+}
+
+template <typename List>
+static bool read_list(List from, std::vector<support::endpoint>& to) {
+    if (from.size() > max_listed) {
+        return false;
+    }
+    for (const std::uint64_t value : from) {
+        to.push_back(unpack(value));
+    }
+    return true;
+}
+
+static flow::flow_key read_key(schema::FlowKey::Reader from) {
+    return {unpack(from.getCaller()), unpack(from.getService())};
+}
+
+static view_summary read_view(schema::View::Reader from) {
+    return {{from.getAsOf()}, from.getDigest()};
+}
+
+static std::span<const std::byte> read_data(capnp::Data::Reader from) {
+    return {reinterpret_cast<const std::byte*>(from.begin()), from.size()};
+}
+
+static absl::StatusOr<message> read_body(schema::Ping::Reader from) {
+    ping body{from.getSequence(), read_view(from.getView()), {}};
+    if (!read_list(from.getBalancers(), body.balancers)) {
+        return malformed("too many balancers");
+    }
+    return body;
+}
+
+static absl::StatusOr<message> read_body(schema::Pong::Reader from) {
+    const auto report = from.getReport();
+    if (report.getCondition() >= condition_names.size()) {
+        return malformed("unknown condition");
+    }
+    pong body;
+    body.sequence = from.getSequence();
+    body.view = read_view(from.getView());
+    body.report.agent = unpack(report.getAgent());
+    body.report.service.value = report.getService().cStr();
+    body.report.data_centre.value = report.getDataCentre().cStr();
+    body.report.condition =
+        static_cast<server_condition>(report.getCondition());
+    body.report.takes_openings = report.getTakesOpenings();
+    body.report.opening_budget = report.getOpeningBudget();
+    body.report.load = {report.getSlots(), report.getInProgress(),
+                        report.getMeanInProgress(), report.getFlows()};
+    body.report.run = report.getRun();
+    body.report.restarting = report.getRestarting();
+    if (!read_list(from.getBalancers(), body.balancers)) {
+        return malformed("too many balancers");
+    }
+    return body;
+}
+
+static absl::StatusOr<message> read_body(schema::Carry::Reader from) {
+    if (from.getKind() >= carry_names.size()) {
+        return malformed("unknown way to carry");
+    }
+    carry body;
+    body.kind = static_cast<carry_kind>(from.getKind());
+    body.balancer = unpack(from.getBalancer());
+    if (!read_list(from.getCandidates(), body.candidates)) {
+        return malformed("too many candidates");
+    }
+    body.packet = read_data(from.getPacket());
+    return body;
+}
+
+static absl::StatusOr<message> read_body(schema::Owned::Reader from) {
+    return owned{read_key(from.getKey()), unpack(from.getAgent())};
+}
+
+static absl::StatusOr<message> read_body(schema::Absent::Reader from) {
+    return absent{read_key(from.getKey()), unpack(from.getAgent()),
+                  from.getLost(), read_data(from.getPacket())};
+}
+
+static absl::StatusOr<message> read_root(schema::Message::Reader root) {
+    switch (root.which()) {
+    case schema::Message::PING:
+        return read_body(root.getPing());
+    case schema::Message::PONG:
+        return read_body(root.getPong());
+    case schema::Message::CARRY:
+        return read_body(root.getCarry());
+    case schema::Message::OWNED:
+        return read_body(root.getOwned());
+    case schema::Message::ABSENT:
+        return read_body(root.getAbsent());
+    }
+    return malformed("unknown kind");
+}
+
+absl::StatusOr<message> decode(std::span<const std::byte> data) {
+    if (data.size() % sizeof(capnp::word) != 0 || data.empty()) {
+        return malformed("not whole words");
+    }
+    const capnp::ReaderOptions limits{max_words, max_depth};
+    try {
+        capnp::FlatArrayMessageReader reader(
+            kj::arrayPtr(reinterpret_cast<const capnp::word*>(data.data()),
+                         data.size() / sizeof(capnp::word)),
+            limits);
+        return read_root(reader.getRoot<schema::Message>());
+    } catch (const kj::Exception& error) {
+        return malformed(error.getDescription().cStr());
+    }
+}
+
+} // namespace guavastair::peer
--- /dev/null
+++ b/lib/relay/agent.cpp
@@ -0,0 +1,701 @@
+#include "operator_documents.hpp"
+#include "packet.hpp"
+#include "process.hpp"
+#include "server_report.hpp"
+#include "store_drivers.hpp"
+#include "view_keeper.hpp"
+
+#include <guavastair/ownership.hpp>
+#include <guavastair/relay.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace guavastair::relay {
+
+namespace {
+
+constexpr support::duration tick_interval = support::milliseconds(100);
+constexpr support::duration probe_timeout = support::milliseconds(400);
+
+/// Without a ping for so long an agent makes itself known to balancers.
+constexpr support::duration lonely_after = support::milliseconds(700);
+
+/// A balancer that has not pinged for so long is no longer listed to others.
+constexpr support::duration balancer_lifetime = support::seconds(3);
+
+/// A leaving server's last answers take so long at most.
+constexpr support::duration leave_time = support::milliseconds(500);
+
+constexpr std::size_t packet_batch = 32;
+constexpr int packet_kernel_buffer = 4 << 20;
+
+/// Openings a second that a cold server bears when its service names no rate.
+constexpr double default_cold_rate = 0.0;
+
+ownership::owner_settings owner_settings(const platform::settings& settings) {
+    ownership::owner_settings result;
+    result.longest_flow = settings.longest_flow;
+    result.idle_timeout = settings.longest_flow;
+    return result;
+}
+
+ownership::monitor_settings
+monitor_settings(const platform::settings& settings) {
+    ownership::monitor_settings result;
+    result.report_interval = settings.report_interval;
+    return result;
+}
+
+registry::registrar_settings
+registrar_settings(const platform::settings& settings) {
+    registry::registrar_settings result;
+    result.key = platform::agent_key(settings.peers);
+    return result;
+}
+
+/// One agent.
+class agent {
+public:
+    explicit agent(platform::settings chosen)
+        : shell(std::move(chosen)), link(shell),
+          view(shell, [this] { this->on_view_changed(); }),
+          registrar(shell, registrar_settings(shell.settings)),
+          monitor(monitor_settings(shell.settings), shell.now()),
+          owner(owner_settings(shell.settings), shell.now()),
+          readiness(
+              shell.loop,
+              [this](const http::request& ask) { return this->answer(ask); }),
+          control(
+              shell.loop,
+              [this](const http::request& ask) { return this->answer(ask); }),
+          probe(shell.loop), run_id(shell.random()) {}
+
+    absl::Status run();
+
+private:
+    absl::Status open();
+    void receive_server_packets();
+    void on_server_datagram(std::span<const std::byte> bytes);
+    void deliver(std::span<const std::byte> bytes, const flow::packet& packet);
+    void reset(const flow::flow_key& key, std::uint32_t sequence);
+    void carry_out(const ownership::action& decided, const flow::packet& packet,
+                   std::span<const std::byte> bytes);
+    void log_action(const ownership::action& decided,
+                    const flow::packet& packet,
+                    const ownership::gate_state* gate);
+
+    void on_message(support::endpoint from, const peer::message& body);
+    void on_body(support::endpoint from, const peer::ping& body);
+    void on_body(support::endpoint from, const peer::carry& body);
+    void on_body(support::endpoint from, const peer::pong& body);
+    void on_body(support::endpoint from, const peer::owned& body);
+    void on_body(support::endpoint from, const peer::absent& body);
+
+    http::response answer(const http::request& ask);
+    http::response on_call(const platform::status_call& call);
+    http::response on_call(const platform::leave_call& call);
+    http::response on_call(const platform::readiness_call& call);
+
+    std::uint32_t cold_limit() const;
+    ownership::gate_state gate(support::endpoint service_address);
+    ownership::gate_state server_gate();
+    peer::agent_report report();
+    void publish();
+    void tick();
+    void start_probe();
+    void on_probe(http::connect_probe::answer found);
+    void drop_flows();
+    void introduce();
+    void on_view_changed();
+    void note_condition(absl::string_view cause);
+    void stop();
+
+    process shell;
+    peer_link link;
+    view_keeper view;
+    registrar_driver registrar;
+    ownership::server_monitor monitor;
+    ownership::owner_table owner;
+    ownership::opening_budget budget;
+    http::server readiness;
+    http::server control;
+    http::connect_probe probe;
+    std::unique_ptr<net::udp_socket> outbound;
+    std::uint64_t run_id;
+    std::map<support::endpoint, support::instant> balancers;
+    support::instant last_ping;
+    peer::server_condition noted = peer::server_condition::unknown;
+    bool was_withdrawn = false;
+    bool restarting = false;
+    bool stopping = false;
+    std::string published;
+};
+
+// ---------------------------------------------------------------- gates
+
+std::uint32_t agent::cold_limit() const {
+    const routing::service_terms* terms =
+        this->view.rules().find_service(this->shell.settings.service);
+    const double rate =
+        terms != nullptr ? terms->warm_up_rate : default_cold_rate;
+    return ownership::opening_budget::limit(rate,
+                                            this->shell.settings.cold_factor,
+                                            this->shell.settings.cold_slack);
+}
+
+ownership::gate_state agent::server_gate() {
+    using ownership::gate_answer;
+    using ownership::gate_reason;
+    const auto refuse = [](gate_reason why) {
+        return ownership::gate_state{gate_answer::refuse, why};
+    };
+    switch (this->monitor.condition()) {
+    case peer::server_condition::unknown:
+        return refuse(gate_reason::server_unknown);
+    case peer::server_condition::draining:
+        return refuse(gate_reason::draining);
+    case peer::server_condition::silent:
+        return refuse(gate_reason::silent);
+    case peer::server_condition::gone:
+        return refuse(gate_reason::gone);
+    case peer::server_condition::ready:
+        break;
+    }
+    const support::instant now = this->shell.now();
+    const bool cold = this->monitor.is_cold(now);
+    if (cold && this->budget.left(now, this->cold_limit()) == 0) {
+        return refuse(gate_reason::cold);
+    }
+    const peer::load_report load = this->owner.load();
+    if (load.in_progress > 2 * this->monitor.slots()) {
+        return {gate_answer::prefer_other, gate_reason::busy};
+    }
+    return {gate_answer::take, gate_reason::open};
+}
+
+ownership::gate_state agent::gate(support::endpoint service_address) {
+    using ownership::gate_answer;
+    using ownership::gate_reason;
+    const routing::routing_state& rules = this->view.rules();
+    const auto refuse = [](gate_reason why) {
+        return ownership::gate_state{gate_answer::refuse, why};
+    };
+    if (!rules.has_configuration()) {
+        return refuse(gate_reason::no_configuration);
+    }
+    if (!this->view.is_confirmed()) {
+        return refuse(gate_reason::unconfirmed);
+    }
+    if (rules.find_route(service_address) == nullptr) {
+        return refuse(gate_reason::no_route);
+    }
+    if (!rules.leads_to(service_address, this->shell.settings.service)) {
+        return refuse(gate_reason::foreign_service);
+    }
+    if (rules.is_withdrawn(this->shell.settings.data_centre)) {
+        return refuse(gate_reason::withdrawn);
+    }
+    return this->server_gate();
+}
+
+// -------------------------------------------------------------- packets
+
+void agent::reset(const flow::flow_key& key, std::uint32_t sequence) {
+    const support::endpoint caller{key.caller.address,
+                                   this->shell.settings.packets.port};
+    this->outbound->queue_copy(caller, platform::make_reset(key, sequence));
+}
+
+void agent::deliver(std::span<const std::byte> bytes,
+                    const flow::packet& packet) {
+    if (packet.flags.syn() || packet.payload_size > 0) {
+        this->monitor.on_delivered(this->shell.now());
+    }
+    this->outbound->queue_copy(this->shell.settings.server, bytes);
+}
+
+void agent::log_action(const ownership::action& decided,
+                       const flow::packet& packet,
+                       const ownership::gate_state* gate) {
+    if (decided.why == ownership::basis::owned) {
+        return;
+    }
+    logging::line line("flow");
+    line.add("caller", packet.key.caller)
+        .add("service", packet.key.service)
+        .add("outcome", ownership::to_string(decided.kind))
+        .add("basis", ownership::to_string(decided.why))
+        .add("balancer", decided.balancer)
+        .add("condition", peer::to_string(this->monitor.condition()))
+        .add("version", this->view.rules().view().config.version);
+    if (gate != nullptr) {
+        line.add("gate", ownership::to_string(gate->reason))
+            .add("in_progress", this->owner.load().in_progress);
+    }
+    if (decided.kind == ownership::action_kind::pass_on) {
+        line.add("next", decided.next);
+    }
+    this->shell.log(logging::level::info, "flow", line);
+}
+
+void agent::carry_out(const ownership::action& decided,
+                      const flow::packet& packet,
+                      std::span<const std::byte> bytes) {
+    using ownership::action_kind;
+    const support::endpoint self = this->shell.settings.peers;
+    const bool lost = decided.why == ownership::basis::lost_with_server;
+    if (decided.tell_owned) {
+        this->link.send(decided.balancer, peer::owned{packet.key, self});
+    }
+    switch (decided.kind) {
+    case action_kind::deliver:
+        this->deliver(bytes, packet);
+        break;
+    case action_kind::pass_on: {
+        peer::carry body;
+        body.kind = peer::carry_kind::open;
+        body.balancer = decided.balancer;
+        body.candidates = decided.candidates;
+        body.packet = bytes;
+        this->link.send(decided.next, body);
+        break;
+    }
+    case action_kind::answer_absent: {
+        peer::absent body;
+        body.key = packet.key;
+        body.agent = self;
+        if (decided.give_back) {
+            body.packet = bytes;
+        }
+        this->link.send(decided.balancer, body);
+        break;
+    }
+    case action_kind::reset:
+        this->reset(packet.key, packet.acknowledgement);
+        if (lost) {
+            peer::absent body;
+            body.key = packet.key;
+            body.agent = self;
+            body.lost = true;
+            this->link.send(decided.balancer, body);
+        }
+        break;
+    case action_kind::drop:
+        break;
+    }
+}
+
+void agent::on_body(support::endpoint from, const peer::carry& body) {
+    const auto packet =
+        platform::parse_packet(body.packet, platform::packet_writer::caller);
+    if (!packet.has_value()) {
+        return;
+    }
+    const support::instant now = this->shell.now();
+    if (body.kind == peer::carry_kind::open) {
+        const ownership::gate_state gate = this->gate(packet->head.key.service);
+        const bool was_passed = from != body.balancer;
+        const ownership::action decided =
+            this->owner.on_opening(now, packet->head, gate, body.balancer,
+                                   body.candidates, was_passed);
+        if (decided.why == ownership::basis::opened) {
+            this->budget.spend(now);
+        }
+        this->log_action(decided, packet->head, &gate);
+        this->carry_out(decided, packet->head, body.packet);
+        return;
+    }
+    const bool locating = body.kind == peer::carry_kind::locate;
+    ownership::action decided =
+        this->owner.on_packet(now, packet->head, body.balancer, locating);
+    decided.balancer = body.balancer;
+    this->log_action(decided, packet->head, nullptr);
+    this->carry_out(decided, packet->head, body.packet);
+}
+
+void agent::receive_server_packets() {
+    while (true) {
+        const std::span<const net::datagram> batch = this->outbound->receive();
+        if (batch.empty()) {
+            return;
+        }
+        for (const net::datagram& each : batch) {
+            this->on_server_datagram(each.payload);
+        }
+    }
+}
+
+void agent::on_server_datagram(std::span<const std::byte> bytes) {
+    const auto packet =
+        platform::parse_packet(bytes, platform::packet_writer::server);
+    if (!packet.has_value()) {
+        return;
+    }
+    const support::instant now = this->shell.now();
+    this->monitor.on_server_packet(now);
+    if (!packet->returned) {
+        this->owner.on_server_packet(now, packet->head);
+        const support::endpoint caller{packet->head.key.caller.address,
+                                       this->shell.settings.packets.port};
+        this->outbound->queue(caller, {}, bytes);
+        return;
+    }
+    std::array<std::byte, platform::max_packet_size> restored;
+    std::copy(bytes.begin(), bytes.end(), restored.begin());
+    const std::span<std::byte> whole = std::span(restored).first(bytes.size());
+    platform::restore_packet(whole);
+    const ownership::action decided =
+        this->owner.on_returned(now, packet->head);
+    this->log_action(decided, packet->head, nullptr);
+    this->carry_out(decided, packet->head, whole);
+}
+
+// ------------------------------------------------------------- messages
+
+void agent::on_message(support::endpoint from, const peer::message& body) {
+    std::visit([&](const auto& each) { this->on_body(from, each); }, body);
+}
+
+void agent::on_body(support::endpoint from, const peer::ping& body) {
+    const support::instant now = this->shell.now();
+    this->last_ping = now;
+    const bool is_new = this->balancers.count(from) == 0;
+    this->balancers[from] = now;
+    if (is_new) {
+        logging::line line("balancer_found");
+        line.add("balancer", from);
+        this->shell.log(logging::level::info, "balancer_found", line);
+    }
+    this->view.on_peer_view(from, body.view);
+    for (const support::endpoint other : body.balancers) {
+        if (this->balancers.count(other) == 0) {
+            // It has not pinged: it does not know this agent.
+            this->link.send(
+                other, peer::pong{0, this->view.summary(), this->report(), {}});
+        }
+    }
+    peer::pong answer;
+    answer.sequence = body.sequence;
+    answer.view = this->view.summary();
+    answer.report = this->report();
+    for (const auto& [other, heard] : this->balancers) {
+        if (other != from && answer.balancers.size() < peer::max_listed) {
+            answer.balancers.push_back(other);
+        }
+    }
+    this->link.send(from, answer);
+}
+
+void agent::on_body(support::endpoint from, const peer::pong& body) {
+    this->view.on_peer_view(from, body.view);
+}
+
+void agent::on_body(support::endpoint /*from*/, const peer::owned& /*body*/) {}
+
+void agent::on_body(support::endpoint /*from*/, const peer::absent& /*body*/) {}
+
+peer::agent_report agent::report() {
+    const support::instant now = this->shell.now();
+    peer::agent_report result;
+    result.agent = this->shell.settings.peers;
+    result.service = this->shell.settings.service;
+    result.data_centre = this->shell.settings.data_centre;
+    result.condition = this->monitor.condition();
+    const ownership::gate_state state = this->server_gate();
+    result.takes_openings =
+        state.answer != ownership::gate_answer::refuse &&
+        this->view.is_confirmed() &&
+        !this->view.rules().is_withdrawn(this->shell.settings.data_centre);
+    if (this->monitor.is_cold(now)) {
+        result.opening_budget = this->budget.left(now, this->cold_limit());
+    }
+    result.load = this->owner.load();
+    result.load.slots = this->monitor.slots();
+    result.run = this->run_id;
+    result.restarting = this->restarting;
+    return result;
+}
+
+/// Writes the lasting part of the report into the store.
+void agent::publish() {
+    if (this->monitor.condition() == peer::server_condition::gone &&
+        this->monitor.last_report().has_value() && this->stopping) {
+        this->registrar.set_wanted(std::nullopt);
+        return;
+    }
+    peer::pong body;
+    body.report.agent = this->shell.settings.peers;
+    body.report.service = this->shell.settings.service;
+    body.report.data_centre = this->shell.settings.data_centre;
+    body.report.run = this->run_id;
+    std::array<std::byte, peer::max_message_size> buffer;
+    const std::size_t size = peer::encode(body, buffer);
+    std::string value(reinterpret_cast<const char*>(buffer.data()), size);
+    if (value == this->published) {
+        return;
+    }
+    this->published = value;
+    this->registrar.set_wanted(std::move(value));
+}
+
+void agent::introduce() {
+    for (const support::endpoint seed : this->shell.settings.seeds) {
+        const support::endpoint to{seed.address,
+                                   this->shell.settings.peers.port};
+        this->link.send(
+            to, peer::pong{0, this->view.summary(), this->report(), {}});
+    }
+}
+
+// --------------------------------------------------------------- server
+
+void agent::note_condition(absl::string_view cause) {
+    const peer::server_condition present = this->monitor.condition();
+    if (present == this->noted) {
+        return;
+    }
+    logging::line line("server_condition");
+    line.add("before", peer::to_string(this->noted))
+        .add("after", peer::to_string(present))
+        .add("cause", cause);
+    const auto& last = this->monitor.last_report();
+    if (last.has_value()) {
+        line.add("server", last->id)
+            .add("born", last->born)
+            .add("sequence", last->sequence)
+            .add("warm_up_left_ms", last->warm_up_left.ms);
+    }
+    this->shell.log(logging::level::info, "server_condition", line);
+    const bool lost = present == peer::server_condition::gone;
+    this->noted = present;
+    if (lost) {
+        this->shell.loop.call_after(leave_time, [this] {
+            if (this->monitor.condition() == peer::server_condition::gone) {
+                this->drop_flows();
+            }
+        });
+    }
+}
+
+void agent::drop_flows() {
+    const auto orders = this->owner.on_server_lost(this->shell.now());
+    if (orders.empty()) {
+        return;
+    }
+    logging::line line("flows_lost");
+    line.add("count", orders.size());
+    this->shell.log(logging::level::warn, "flows_lost", line);
+    for (const ownership::reset_order& each : orders) {
+        this->reset(each.key, each.sequence);
+    }
+}
+
+http::response agent::on_call(const platform::status_call& call) {
+    if (call.service != this->shell.settings.service ||
+        call.server != this->shell.settings.server) {
+        logging::line line("report_refused");
+        line.add("server", call.report.id)
+            .add("of", call.service)
+            .add("at", call.server)
+            .add("why", "another server's");
+        this->shell.log(logging::level::warn, "report_refused", line);
+        return platform::refusal(
+            support::make_error(support::error_kind::revision_conflict,
+                                "the report is of another server"));
+    }
+    const support::instant now = this->shell.now();
+    const ownership::report_effect effect =
+        this->monitor.on_report(now, call.report);
+    if (effect == ownership::report_effect::restarted) {
+        this->drop_flows();
+        this->owner.set_complete();
+    }
+    if (effect == ownership::report_effect::first &&
+        call.report.sequence <= 1) {
+        this->owner.set_complete();
+    }
+    this->note_condition("report");
+    this->publish();
+    return platform::confirmation();
+}
+
+http::response agent::on_call(const platform::leave_call& call) {
+    const auto& last = this->monitor.last_report();
+    if (last.has_value() && last->id == call.id) {
+        this->monitor.on_left(this->shell.now());
+        this->note_condition("left");
+    }
+    return platform::confirmation();
+}
+
+http::response agent::on_call(const platform::readiness_call& /*call*/) {
+    return platform::readiness(!this->stopping);
+}
+
+http::response agent::answer(const http::request& ask) {
+    const auto call = platform::read_control_call(ask);
+    if (!call.ok()) {
+        logging::line line("call_refused");
+        line.add("target", ask.target).add("why", call.status().message());
+        this->shell.log(logging::level::warn, "call_refused", line);
+        return platform::refusal(call.status());
+    }
+    return std::visit([this](const auto& each) { return this->on_call(each); },
+                      *call);
+}
+
+void agent::start_probe() {
+    if (this->probe.busy() || !this->monitor.start_probe(this->shell.now())) {
+        return;
+    }
+    this->probe.start(
+        this->shell.settings.server, probe_timeout,
+        [this](http::connect_probe::answer found) { this->on_probe(found); });
+}
+
+void agent::on_probe(http::connect_probe::answer found) {
+    const support::instant now = this->shell.now();
+    const bool before_first = !this->monitor.last_report().has_value();
+    switch (found) {
+    case http::connect_probe::answer::accepted:
+        this->monitor.on_probe_accepted(now);
+        break;
+    case http::connect_probe::answer::refused:
+        this->monitor.on_probe_refused(now);
+        if (before_first) {
+            // The server is not up yet: nothing opened there before.
+            this->owner.set_complete();
+        }
+        break;
+    case http::connect_probe::answer::silent:
+        this->monitor.on_probe_silent(now);
+        break;
+    }
+    this->note_condition("probe");
+}
+
+void agent::on_view_changed() {
+    const bool withdrawn =
+        this->view.rules().is_withdrawn(this->shell.settings.data_centre);
+    if (this->was_withdrawn && !withdrawn) {
+        this->monitor.expect_cold(this->shell.now());
+    }
+    this->was_withdrawn = withdrawn;
+}
+
+void agent::tick() {
+    const support::instant now = this->shell.now();
+    this->owner.tick(now);
+    this->start_probe();
+    std::erase_if(this->balancers, [now](const auto& entry) {
+        return now - entry.second > balancer_lifetime;
+    });
+    if (now - this->last_ping > lonely_after) {
+        this->last_ping = now;
+        this->introduce();
+    }
+}
+
+void agent::stop() {
+    if (this->stopping) {
+        this->shell.loop.stop();
+        return;
+    }
+    this->stopping = true;
+    const bool server_left =
+        this->monitor.condition() == peer::server_condition::gone;
+    logging::line line("stopping");
+    line.add("server_left", server_left);
+    this->shell.log(logging::level::info, "stopping", line);
+    if (server_left) {
+        this->drop_flows();
+        this->publish();
+        this->shell.loop.call_after(leave_time,
+                                    [this] { this->shell.loop.stop(); });
+        return;
+    }
+    this->restarting = true;
+    for (const auto& [balancer, heard] : this->balancers) {
+        this->link.send(
+            balancer, peer::pong{0, this->view.summary(), this->report(), {}});
+    }
+    this->shell.loop.call_after(support::milliseconds(1),
+                                [this] { this->shell.loop.stop(); });
+}
+
+absl::Status agent::open() {
+    absl::Status status =
+        this->shell.handle_signals([this] { this->stop(); }, [] {});
+    if (status.ok()) {
+        status = this->link.open(
+            [this](support::endpoint from, const peer::message& body) {
+                this->on_message(from, body);
+            });
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    net::udp_options options;
+    options.local = this->shell.settings.outbound;
+    options.batch = packet_batch;
+    options.kernel_buffer_size = packet_kernel_buffer;
+    auto opened = net::udp_socket::open(options);
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    this->outbound = std::make_unique<net::udp_socket>(*std::move(opened));
+    this->shell.loop.call_each_round([this] { this->outbound->flush(); });
+    status = this->shell.loop.watch(
+        this->outbound->descriptor(), {.readable = true},
+        [this](net::readiness) { this->receive_server_packets(); });
+    if (status.ok()) {
+        status = this->control.listen(this->shell.settings.control);
+    }
+    if (status.ok()) {
+        status = this->readiness.listen(this->shell.settings.readiness);
+    }
+    if (status.ok()) {
+        status = this->view.start();
+    }
+    return status;
+}
+
+absl::Status agent::run() {
+    const absl::Status opened = this->open();
+    if (!opened.ok()) {
+        return opened;
+    }
+    this->publish();
+    this->start_probe();
+    this->introduce();
+    this->shell.watch_for_gaps([this](support::duration) {
+        this->monitor.on_resumed(this->shell.now());
+        this->view.on_resumed();
+    });
+    this->shell.loop.call_every(tick_interval, [this] { this->tick(); });
+    logging::line line("started");
+    line.add("role", "agent")
+        .add("of", this->shell.settings.service)
+        .add("data_centre", this->shell.settings.data_centre)
+        .add("run", support::to_string(support::member_id{this->run_id}));
+    this->shell.log(logging::level::info, "started", line);
+    this->shell.loop.run();
+    line = logging::line("stopped");
+    this->shell.log(logging::level::info, "stopped", line);
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status run_agent() {
+    auto settings = platform::load_settings();
+    if (!settings.ok()) {
+        return settings.status();
+    }
+    agent instance(*std::move(settings));
+    return instance.run();
+}
+
+} // namespace guavastair::relay
--- /dev/null
+++ b/lib/relay/process.cpp
@@ -0,0 +1,186 @@
+#include "process.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <ctime>
+#include <random>
+
+namespace guavastair::relay {
+
+/// How often gaps are looked for, and the shortest that counts.
+static constexpr support::duration gap_check_interval =
+    support::milliseconds(250);
+static constexpr support::duration shortest_gap = support::seconds(1);
+
+/// Datagrams in one system call: bounds the memory of a socket's buffers.
+static constexpr std::size_t peer_batch = 16;
+/// Bytes that the kernel keeps for a socket in each direction.
+static constexpr int kernel_buffer = 1 << 20;
+
+/// The write end of the pipe that signal handlers wake the loop by.
+static int signal_write_end = -1;
+
+static void on_signal(int number) {
+    const int saved = errno;
+    const auto byte = static_cast<char>(number);
+    [[maybe_unused]] const auto size = write(signal_write_end, &byte, 1);
+    errno = saved;
+}
+
+static std::int64_t read_clock_ms(clockid_t which) {
+    constexpr std::int64_t ms_per_second = 1000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    timespec time{};
+    clock_gettime(which, &time);
+    return time.tv_sec * ms_per_second + time.tv_nsec / ns_per_ms;
+}
+
+/// Time that the VM has slept since it started.
+static std::int64_t sleep_ms() {
+    return read_clock_ms(CLOCK_BOOTTIME) - read_clock_ms(CLOCK_MONOTONIC);
+}
+
+process::process(platform::settings chosen)
+    : settings(std::move(chosen)), loop(this->clock),
+      writer({.node = this->settings.node}, STDOUT_FILENO) {
+    this->loop.call_each_round([this] { this->writer.flush(); });
+}
+
+process::~process() {
+    this->writer.flush();
+    if (this->signal_pipe >= 0) {
+        close(this->signal_pipe);
+    }
+}
+
+void process::log(logging::level severity, absl::string_view event,
+                  const logging::line& content) {
+    this->writer.write(this->now(), read_clock_ms(CLOCK_REALTIME), severity,
+                       event, content);
+}
+
+absl::Status process::handle_signals(std::function<void()> on_stop,
+                                     std::function<void()> on_reload) {
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
+        return support::make_error(support::error_kind::internal,
+                                   std::strerror(errno));
+    }
+    this->signal_pipe = ends[0];
+    signal_write_end = ends[1];
+    struct sigaction action {};
+    action.sa_handler = on_signal;
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaction(number, &action, nullptr);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    return this->loop.watch(this->signal_pipe, {.readable = true},
+                            [this, on_stop = std::move(on_stop),
+                             on_reload = std::move(on_reload)](net::readiness) {
+                                char number = 0;
+                                while (read(this->signal_pipe, &number, 1) ==
+                                       1) {
+                                    if (number == SIGHUP) {
+                                        on_reload();
+                                    } else {
+                                        on_stop();
+                                    }
+                                }
+                            });
+}
+
+void process::watch_for_gaps(std::function<void(support::duration)> call) {
+    this->on_gap = std::move(call);
+    this->last_check = this->now();
+    this->last_sleep_ms = sleep_ms();
+    this->loop.call_every(gap_check_interval,
+                          [this] { this->check_for_gap(); });
+}
+
+void process::check_for_gap() {
+    const support::instant present = this->now();
+    const std::int64_t slept = sleep_ms();
+    const support::duration gap =
+        present - this->last_check - gap_check_interval +
+        support::duration{slept - this->last_sleep_ms};
+    this->last_check = present;
+    this->last_sleep_ms = slept;
+    if (gap < shortest_gap) {
+        return;
+    }
+    logging::line line("resumed");
+    line.add("gap_ms", gap.ms);
+    this->log(logging::level::warn, "resumed", line);
+    this->on_gap(gap);
+}
+
+std::uint64_t process::random() {
+    std::random_device source;
+    constexpr int word_bits = 32;
+    return (std::uint64_t{source()} << word_bits) | source();
+}
+
+// ------------------------------------------------------------ peer_link
+
+peer_link::peer_link(process& chosen) : owner(chosen) {}
+
+absl::Status peer_link::open(receiver call) {
+    this->on_message = std::move(call);
+    net::udp_options options;
+    options.local = this->owner.settings.peers;
+    options.batch = peer_batch;
+    options.kernel_buffer_size = kernel_buffer;
+    auto opened = net::udp_socket::open(options);
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    this->socket = std::make_unique<net::udp_socket>(*std::move(opened));
+    this->owner.loop.call_each_round([this] { this->socket->flush(); });
+    return this->owner.loop.watch(this->socket->descriptor(),
+                                  {.readable = true},
+                                  [this](net::readiness) { this->receive(); });
+}
+
+void peer_link::receive() {
+    alignas(8) std::array<std::byte, peer::max_message_size> aligned;
+    while (true) {
+        const std::span<const net::datagram> batch = this->socket->receive();
+        if (batch.empty()) {
+            return;
+        }
+        for (const net::datagram& each : batch) {
+            const std::size_t size = each.payload.size();
+            if (size > aligned.size()) {
+                ++this->malformed_count;
+                continue;
+            }
+            std::memcpy(aligned.data(), each.payload.data(), size);
+            const auto body = peer::decode(std::span(aligned).first(size));
+            if (body.ok()) {
+                this->on_message(each.peer, *body);
+            } else {
+                ++this->malformed_count;
+                logging::line line("message_refused");
+                line.add("from", each.peer).add("why", body.status().message());
+                this->owner.log(logging::level::warn, "message_refused", line);
+            }
+        }
+    }
+}
+
+void peer_link::send(support::endpoint to, const peer::message& body) {
+    alignas(8) std::array<std::byte, peer::max_message_size> buffer;
+    const std::size_t size = peer::encode(body, buffer);
+    this->socket->queue_copy(to, std::span(buffer).first(size));
+}
+
+std::uint64_t peer_link::malformed() const {
+    return this->malformed_count;
+}
+
+} // namespace guavastair::relay
--- /dev/null
+++ b/lib/relay/process.hpp
@@ -0,0 +1,89 @@
+/// What both processes consist of: event loop, log, messages with peers, the
+/// operators' view, signals, and noticing that the process stood still.
+
+#ifndef GUAVASTAIR_LIB_RELAY_PROCESS_HPP
+#define GUAVASTAIR_LIB_RELAY_PROCESS_HPP
+
+#include "settings.hpp"
+#include "store_client.hpp"
+
+#include <guavastair/line_log.hpp>
+#include <guavastair/net.hpp>
+#include <guavastair/peer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace guavastair::relay {
+
+/// The clock, loop, log and settings of one process.
+class process {
+public:
+    explicit process(platform::settings chosen);
+    ~process();
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    support::instant now() const {
+        return this->loop.now();
+    }
+
+    /// Writes a log line; `event` is its first pair.
+    void log(logging::level severity, absl::string_view event,
+             const logging::line& content);
+
+    /// Calls `on_stop` at SIGTERM or SIGINT and `on_reload` at SIGHUP.
+    absl::Status handle_signals(std::function<void()> on_stop,
+                                std::function<void()> on_reload);
+
+    /// Calls `call` with the length of the gap when the process has stood
+    /// still, or its VM slept, for longer than a second.
+    void watch_for_gaps(std::function<void(support::duration)> call);
+
+    /// A random number for choices that must differ between processes.
+    std::uint64_t random();
+
+    platform::settings settings;
+    support::steady_clock clock;
+    net::event_loop loop;
+    platform::call_counts store_calls;
+
+private:
+    void check_for_gap();
+
+    line_log::writer writer;
+    int signal_pipe = -1;
+    std::function<void(support::duration)> on_gap;
+    support::instant last_check;
+    std::int64_t last_sleep_ms = 0;
+};
+
+/// Sends and receives messages between processes of the system.
+class peer_link {
+public:
+    using receiver =
+        std::function<void(support::endpoint from, const peer::message&)>;
+
+    explicit peer_link(process& owner);
+
+    /// Opens the socket; `call` hears every message that can be read.
+    absl::Status open(receiver call);
+
+    /// Queues a message; it leaves at the end of the round.
+    void send(support::endpoint to, const peer::message& body);
+
+    std::uint64_t malformed() const;
+
+private:
+    void receive();
+
+    process& owner;
+    receiver on_message;
+    std::unique_ptr<net::udp_socket> socket;
+    std::uint64_t malformed_count = 0;
+};
+
+} // namespace guavastair::relay
+
+#endif
--- /dev/null
+++ b/lib/relay/store_drivers.hpp
@@ -0,0 +1,63 @@
+/// Carry out what a follower or a registrar decides.
+
+#ifndef GUAVASTAIR_LIB_RELAY_STORE_DRIVERS_HPP
+#define GUAVASTAIR_LIB_RELAY_STORE_DRIVERS_HPP
+
+#include "process.hpp"
+
+#include <guavastair/registry.hpp>
+
+#include <functional>
+
+namespace guavastair::relay {
+
+/// Follows one prefix of the store.
+class follower_driver {
+public:
+    /// `on_update` is called whenever the entries are complete up to a newer
+    /// revision.
+    follower_driver(process& chosen, registry::follower_settings follows,
+                    std::function<void()> on_update);
+
+    void start();
+    const registry::follower& state() const;
+
+private:
+    void go_on();
+    void make_call(const registry::follower_call& call);
+    void succeeded(bool is_complete);
+    void failed(const absl::Status& why);
+
+    process& owner;
+    std::function<void()> updated;
+    registry::follower follower;
+    platform::store_client client;
+    net::timer_id timer;
+    bool was_failing = false;
+};
+
+/// Keeps this process's entry in the store.
+class registrar_driver {
+public:
+    registrar_driver(process& chosen, registry::registrar_settings registers);
+
+    /// The entry is to hold `value`; nothing means that it is to go.
+    void set_wanted(std::optional<std::string> value);
+    bool is_settled() const;
+
+private:
+    void go_on();
+    void make_call(const registry::registrar_call& call);
+    void ended(const absl::Status& status,
+               void (registry::registrar::*done)(support::instant));
+
+    process& owner;
+    registry::registrar registrar;
+    platform::store_client client;
+    net::timer_id timer;
+    bool was_failing = false;
+};
+
+} // namespace guavastair::relay
+
+#endif
--- /dev/null
+++ b/lib/steering/dispatcher.cpp
@@ -0,0 +1,325 @@
+#include <guavastair/recent_map.hpp>
+#include <guavastair/steering.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <array>
+
+namespace guavastair::steering {
+
+using cache::recent_map;
+
+static constexpr std::array<absl::string_view, 4> dispatch_names{
+    "send", "hold", "reset", "drop"};
+
+static constexpr std::array<absl::string_view, 10> basis_names{
+    "opening",       "repeated_opening", "located",      "searching",
+    "no_route",      "no_configuration", "no_candidate", "held",
+    "search_failed", "overload"};
+
+absl::string_view to_string(dispatch_kind kind) {
+    return dispatch_names[static_cast<std::size_t>(kind)];
+}
+
+absl::string_view to_string(dispatch_basis basis) {
+    return basis_names[static_cast<std::size_t>(basis)];
+}
+
+namespace {
+
+using bytes = std::vector<std::byte>;
+
+bytes copy(std::span<const std::byte> from) {
+    return {from.begin(), from.end()};
+}
+
+/// The look for the owner of one flow.
+struct search {
+    /// Agents that may own the flow, those already asked first.
+    std::vector<support::endpoint> order;
+    std::size_t asked = 0;
+    /// How many of those asked have said no.
+    std::vector<support::endpoint> denied;
+    /// The packet that goes round.
+    bytes packet;
+    /// Packets that came meanwhile.
+    std::vector<bytes> held;
+    support::instant step_started;
+};
+
+dispatch refuse(dispatch_kind kind, dispatch_basis basis) {
+    dispatch result;
+    result.kind = kind;
+    result.basis = basis;
+    return result;
+}
+
+dispatch send_to(support::endpoint agent, dispatch_basis basis) {
+    dispatch result;
+    result.kind = dispatch_kind::send;
+    result.basis = basis;
+    result.to = {agent};
+    return result;
+}
+
+} // namespace
+
+struct dispatcher::implementation {
+    implementation(dispatcher_settings chosen, member_table& known,
+                   const routing::routing_state& held)
+        : settings(std::move(chosen)), members(known), rules(held),
+          locations(settings.max_locations, settings.location_lifetime) {}
+
+    dispatch open(support::instant now, const flow::packet& packet);
+    dispatch offer(support::instant now, const routing::route& target,
+                   std::uint64_t hash);
+    dispatch begin_search(support::instant now, const flow::flow_key& key,
+                          std::span<const std::byte> packet,
+                          std::optional<support::endpoint> excluded);
+    std::optional<dispatch> next_step(support::instant now, search& under_way);
+    dispatch hold(search& under_way, std::span<const std::byte> packet) const;
+    std::vector<released> release(const flow::flow_key& key, search found,
+                                  support::endpoint agent) const;
+
+    dispatcher_settings settings;
+    member_table& members;
+    const routing::routing_state& rules;
+    recent_map<support::endpoint> locations;
+    absl::flat_hash_map<flow::flow_key, search> searches;
+};
+
+dispatch dispatcher::implementation::offer(support::instant now,
+                                           const routing::route& target,
+                                           std::uint64_t hash) {
+    const support::service_name* service =
+        routing::choose_service(target.services, hash);
+    std::vector<support::endpoint> chosen;
+    if (service != nullptr) {
+        chosen = choose_opening(now, this->settings.opening, this->members,
+                                this->rules, *service, hash);
+    }
+    if (chosen.empty()) {
+        return refuse(dispatch_kind::reset, dispatch_basis::no_candidate);
+    }
+    dispatch result = send_to(chosen.front(), dispatch_basis::opening);
+    result.carry = peer::carry_kind::open;
+    result.candidates.assign(chosen.begin() + 1, chosen.end());
+    this->members.on_opening_sent(chosen.front());
+    this->locations.put(hash, chosen.front(), now);
+    return result;
+}
+
+dispatch dispatcher::implementation::open(support::instant now,
+                                          const flow::packet& packet) {
+    if (!this->rules.has_configuration()) {
+        return refuse(dispatch_kind::drop, dispatch_basis::no_configuration);
+    }
+    const routing::route* target = this->rules.find_route(packet.key.service);
+    if (target == nullptr) {
+        const bool certain =
+            now - this->rules.confirmed_at() <= this->settings.certain_for;
+        return refuse(certain ? dispatch_kind::reset : dispatch_kind::drop,
+                      dispatch_basis::no_route);
+    }
+    const std::uint64_t hash = flow::flow_hash(packet.key);
+    const support::endpoint* located = this->locations.find(hash);
+    if (located == nullptr) {
+        return this->offer(now, *target, hash);
+    }
+    const member* each = this->members.find(*located);
+    if (each == nullptr || !this->members.is_present(now, *each)) {
+        return this->offer(now, *target, hash);
+    }
+    dispatch result = send_to(*located, dispatch_basis::repeated_opening);
+    result.carry = peer::carry_kind::open;
+    const support::service_name* service =
+        routing::choose_service(target->services, hash);
+    if (service != nullptr) {
+        result.candidates =
+            choose_opening(now, this->settings.opening, this->members,
+                           this->rules, *service, hash);
+        std::erase(result.candidates, *located);
+    }
+    return result;
+}
+
+std::optional<dispatch>
+dispatcher::implementation::next_step(support::instant now, search& under_way) {
+    if (under_way.asked == under_way.order.size()) {
+        return std::nullopt;
+    }
+    const std::size_t size = under_way.asked == 0 ? this->settings.first_step
+                                                  : this->settings.further_step;
+    const std::size_t last =
+        std::min(under_way.order.size(), under_way.asked + size);
+    dispatch result;
+    result.kind = dispatch_kind::send;
+    result.basis = dispatch_basis::searching;
+    result.carry = peer::carry_kind::locate;
+    const auto begin = under_way.order.begin();
+    result.to.assign(begin + static_cast<std::ptrdiff_t>(under_way.asked),
+                     begin + static_cast<std::ptrdiff_t>(last));
+    under_way.asked = last;
+    under_way.step_started = now;
+    return result;
+}
+
+dispatch dispatcher::implementation::begin_search(
+    support::instant now, const flow::flow_key& key,
+    std::span<const std::byte> packet,
+    std::optional<support::endpoint> excluded) {
+    if (this->searches.size() >= this->settings.max_searches) {
+        return refuse(dispatch_kind::drop, dispatch_basis::overload);
+    }
+    search begun;
+    begun.order = search_order(now, this->settings.opening, this->members,
+                               this->rules.services_of(key.service),
+                               flow::flow_hash(key));
+    if (excluded.has_value()) {
+        std::erase(begun.order, *excluded);
+    }
+    begun.packet = copy(packet);
+    const auto step = this->next_step(now, begun);
+    if (!step.has_value()) {
+        return refuse(dispatch_kind::drop, dispatch_basis::search_failed);
+    }
+    this->searches.emplace(key, std::move(begun));
+    return *step;
+}
+
+dispatch
+dispatcher::implementation::hold(search& under_way,
+                                 std::span<const std::byte> packet) const {
+    if (under_way.held.size() >= this->settings.max_held) {
+        return refuse(dispatch_kind::drop, dispatch_basis::overload);
+    }
+    under_way.held.push_back(copy(packet));
+    return refuse(dispatch_kind::hold, dispatch_basis::held);
+}
+
+std::vector<released>
+dispatcher::implementation::release(const flow::flow_key& key, search found,
+                                    support::endpoint agent) const {
+    std::vector<released> result;
+    for (bytes& packet : found.held) {
+        result.push_back(
+            {key, send_to(agent, dispatch_basis::located), std::move(packet)});
+    }
+    return result;
+}
+
+dispatcher::dispatcher(dispatcher_settings chosen, member_table& members,
+                       const routing::routing_state& rules)
+    : self(std::make_unique<implementation>(std::move(chosen), members,
+                                            rules)) {}
+
+dispatcher::~dispatcher() = default;
+
+dispatch dispatcher::on_packet(support::instant now, const flow::packet& packet,
+                               std::span<const std::byte> bytes) {
+    implementation& state = *this->self;
+    if (packet.flags.opens()) {
+        return state.open(now, packet);
+    }
+    const std::uint64_t hash = flow::flow_hash(packet.key);
+    if (const support::endpoint* located = state.locations.find(hash)) {
+        const support::endpoint agent = *located;
+        const member* each = state.members.find(agent);
+        if (each != nullptr && state.members.is_present(now, *each)) {
+            state.locations.touch(hash, now);
+            return send_to(agent, dispatch_basis::located);
+        }
+    }
+    const auto found = state.searches.find(packet.key);
+    if (found != state.searches.end()) {
+        return state.hold(found->second, bytes);
+    }
+    return state.begin_search(now, packet.key, bytes, std::nullopt);
+}
+
+std::vector<released> dispatcher::on_owned(support::instant now,
+                                           const flow::flow_key& key,
+                                           support::endpoint agent) {
+    implementation& state = *this->self;
+    state.locations.put(flow::flow_hash(key), agent, now);
+    const auto found = state.searches.find(key);
+    if (found == state.searches.end()) {
+        return {};
+    }
+    search ended = std::move(found->second);
+    state.searches.erase(found);
+    return state.release(key, std::move(ended), agent);
+}
+
+std::vector<released> dispatcher::on_absent(support::instant now,
+                                            const flow::flow_key& key,
+                                            support::endpoint agent, bool lost,
+                                            std::span<const std::byte> bytes) {
+    implementation& state = *this->self;
+    const std::uint64_t hash = flow::flow_hash(key);
+    const support::endpoint* located = state.locations.find(hash);
+    if (located != nullptr && *located == agent) {
+        state.locations.erase(hash);
+    }
+    const auto found = state.searches.find(key);
+    if (lost) {
+        state.searches.erase(key);
+        return {};
+    }
+    if (found == state.searches.end()) {
+        if (bytes.empty()) {
+            return {};
+        }
+        return {{key, state.begin_search(now, key, bytes, agent), copy(bytes)}};
+    }
+    search& under_way = found->second;
+    if (!bytes.empty()) {
+        state.hold(under_way, bytes);
+        return {};
+    }
+    under_way.denied.push_back(agent);
+    if (under_way.denied.size() < under_way.asked) {
+        return {};
+    }
+    const auto step = state.next_step(now, under_way);
+    if (!step.has_value()) {
+        state.searches.erase(found);
+        return {};
+    }
+    return {{key, *step, under_way.packet}};
+}
+
+std::vector<released> dispatcher::tick(support::instant now) {
+    implementation& state = *this->self;
+    std::vector<released> result;
+    for (auto each = state.searches.begin(); each != state.searches.end();) {
+        const auto current = each++;
+        search& under_way = current->second;
+        const support::duration waited = now - under_way.step_started;
+        if (waited < state.settings.step_time) {
+            continue;
+        }
+        const bool all_asked = under_way.asked == under_way.order.size();
+        if (all_asked && waited > state.settings.last_step_time) {
+            state.searches.erase(current);
+            continue;
+        }
+        const auto step = state.next_step(now, under_way);
+        if (step.has_value()) {
+            result.push_back({current->first, *step, under_way.packet});
+        }
+    }
+    state.locations.expire(now);
+    return result;
+}
+
+bool dispatcher::searching() const {
+    return !this->self->searches.empty();
+}
+
+std::size_t dispatcher::location_count() const {
+    return this->self->locations.size();
+}
+
+} // namespace guavastair::steering
--- /dev/null
+++ b/lib/steering/member_table.cpp
@@ -0,0 +1,160 @@
+#include <guavastair/steering.hpp>
+
+#include <map>
+
+namespace guavastair::steering {
+
+struct member_table::implementation {
+    explicit implementation(member_settings chosen) : settings(chosen) {}
+
+    member* add(support::instant now, const peer::agent_report& report);
+
+    member_settings settings;
+    std::map<support::endpoint, member> members;
+};
+
+member* member_table::implementation::add(support::instant now,
+                                          const peer::agent_report& report) {
+    const auto found = this->members.find(report.agent);
+    if (found != this->members.end()) {
+        return &found->second;
+    }
+    if (this->members.size() >= this->settings.max_members) {
+        return nullptr;
+    }
+    member& added = this->members[report.agent];
+    added.report = report;
+    added.first_seen = now;
+    added.last_answer = now;
+    added.last_ping = now - this->settings.absent_ping_interval;
+    return &added;
+}
+
+member_table::member_table(member_settings chosen)
+    : self(std::make_unique<implementation>(chosen)) {}
+
+member_table::~member_table() = default;
+
+void member_table::set_listed(support::instant now,
+                              std::span<const peer::agent_report> listed) {
+    for (auto& [agent, each] : this->self->members) {
+        each.listed = false;
+    }
+    for (const peer::agent_report& report : listed) {
+        this->set_listed(now, report, true);
+    }
+}
+
+void member_table::set_listed(support::instant now,
+                              const peer::agent_report& report, bool present) {
+    if (!present) {
+        const auto found = this->self->members.find(report.agent);
+        if (found != this->self->members.end()) {
+            found->second.listed = false;
+        }
+        return;
+    }
+    member* each = this->self->add(now, report);
+    if (each == nullptr) {
+        return;
+    }
+    each->listed = true;
+    // The agent's own word is newer than what it once wrote, unless the entry
+    // is of another run at the same address.
+    if (!each->answered) {
+        each->report = report;
+    }
+}
+
+void member_table::on_report(support::instant now,
+                             const peer::agent_report& report) {
+    member* each = this->self->add(now, report);
+    if (each == nullptr) {
+        return;
+    }
+    each->report = report;
+    each->answered = true;
+    each->last_answer = now;
+    each->openings_since_report = 0;
+}
+
+void member_table::on_opening_sent(support::endpoint agent) {
+    const auto found = this->self->members.find(agent);
+    if (found != this->self->members.end()) {
+        ++found->second.openings_since_report;
+    }
+}
+
+void member_table::on_resumed(support::instant now) {
+    for (auto& [agent, each] : this->self->members) {
+        each.last_answer = now;
+        each.last_ping = now - this->self->settings.absent_ping_interval;
+    }
+}
+
+std::vector<support::endpoint>
+member_table::due_for_ping(support::instant now) {
+    const member_settings& settings = this->self->settings;
+    std::vector<support::endpoint> due;
+    for (auto& [agent, each] : this->self->members) {
+        const bool dark = now - each.last_answer > settings.forget_after / 4;
+        const support::duration interval =
+            dark ? settings.absent_ping_interval : settings.ping_interval;
+        if (now - each.last_ping >= interval) {
+            each.last_ping = now;
+            due.push_back(agent);
+        }
+    }
+    return due;
+}
+
+void member_table::tick(support::instant now) {
+    const support::instant limit = now - this->self->settings.forget_after;
+    std::erase_if(this->self->members, [limit](const auto& entry) {
+        const member& each = entry.second;
+        return !each.listed && each.last_answer < limit;
+    });
+}
+
+const member* member_table::find(support::endpoint agent) const {
+    const auto found = this->self->members.find(agent);
+    return found == this->self->members.end() ? nullptr : &found->second;
+}
+
+std::size_t member_table::size() const {
+    return this->self->members.size();
+}
+
+bool member_table::is_present(support::instant now, const member& each) const {
+    return each.answered &&
+           now - each.last_answer <= this->self->settings.dark_after;
+}
+
+bool member_table::takes_openings(support::instant now,
+                                  const member& each) const {
+    return this->is_present(now, each) && each.report.takes_openings &&
+           !each.report.restarting &&
+           each.openings_since_report < each.report.opening_budget;
+}
+
+std::vector<const member*>
+member_table::members_of(const support::service_name& service) const {
+    std::vector<const member*> found;
+    for (const auto& [agent, each] : this->self->members) {
+        if (each.report.service == service) {
+            found.push_back(&each);
+        }
+    }
+    return found;
+}
+
+std::vector<const member*> member_table::all() const {
+    std::vector<const member*> found;
+    found.reserve(this->self->members.size());
+    for (const auto& [agent, each] : this->self->members) {
+        found.push_back(&each);
+    }
+    return found;
+}
+
+} // namespace guavastair::steering
--- a/tools/guavastair/commands.cpp
+++ b/tools/guavastair/commands.cpp
@@ -1,18 +1,12 @@
 #include "commands.hpp"
 
 #include <array>
-#include <iostream>
 
 namespace guavastair::tool {
 
 /// Bounds one call of "check".
 static constexpr std::size_t max_checked_files = 10'000;
 
-static absl::Status run_version(std::span<const std::string> /*arguments*/) {
-    std::cout << "guavastair " << GUAVASTAIR_VERSION << "\n";
-    return absl::OkStatus();
-}
-
 /// The table, in the order in which help lists it.
 static const std::array commands{
     command{"balancer",
@@ -92,6 +86,20 @@
             "checks settings or documents and lists every error",
             {"format"},
             run_check},
+    command{"platform balancer",
+            "",
+            0,
+            0,
+            "runs a balancer on the users' platform",
+            {},
+            run_platform_balancer},
+    command{"platform agent",
+            "",
+            0,
+            0,
+            "runs an agent on the users' platform",
+            {},
+            run_platform_agent},
     command{"version", "", 0, 0, "shows the version", {}, run_version},
 };
 
