Reset flows that no server holds any more

A service that names the cold rate 0 was also held to four openings a second. Change: an agent says whether it or its server has ruled a flow out; a flow ruled out by every member, the list of members being whole, is reset. Agents silent for 1.2 s while most others answer are given up and their flows reset. An agent takes no flow before it is in the store's list or has had time to be known. A rate of 0 means that no rate is given.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -162,6 +162,7 @@
     open,
     no_configuration,
     unconfirmed,
+    unregistered,
     no_route,
     foreign_service,
     withdrawn,
@@ -175,7 +176,7 @@
 };
 
 /// Number of values in gate_reason.
-inline constexpr std::size_t gate_reason_count = 13;
+inline constexpr std::size_t gate_reason_count = 14;
 
 absl::string_view to_string(gate_reason reason);
 
@@ -228,6 +229,8 @@
     bool tell_owned = false;
     /// For answer_absent: whether the balancer needs the packet back.
     bool give_back = false;
+    /// For answer_absent: whether it is ruled out that the server has the flow.
+    bool certain = false;
 };
 
 /// A flow that is to be reset towards its caller.
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -144,6 +144,8 @@
     support::endpoint agent;
     /// Whether the flow was here and has ended with its server.
     bool lost = false;
+    /// Whether the sender or its server has ruled out that the flow is here.
+    bool certain = false;
     /// For a `deliver`: the packet, to be carried elsewhere.
     std::span<const std::byte> packet;
 };
--- a/include/guavastair/registry.hpp
+++ b/include/guavastair/registry.hpp
@@ -184,8 +184,8 @@
 struct registrar_settings {
     std::string key;
     /// Outlives a restart of everything, so that who may own a flow stays
-    /// listed.
-    support::duration lease_ttl = support::seconds(60);
+    /// listed, and three failed renewals.
+    support::duration lease_ttl = support::seconds(15);
     support::duration renew_interval = support::seconds(4);
     support::duration shortest_pause = support::milliseconds(100);
     support::duration longest_pause = support::milliseconds(1500);
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -35,6 +35,11 @@
     support::duration absent_ping_interval = support::milliseconds(1000);
     /// Silence after which an agent gets no opening packets.
     support::duration dark_after = support::milliseconds(600);
+    /// Silence after which an agent's flows are given up, if most other agents
+    /// answer: longer than a process takes to restart.
+    support::duration lost_after = support::milliseconds(1200);
+    /// As lost_after for an agent that has announced its restart.
+    support::duration restart_time = support::seconds(8);
     /// How long an agent that is neither listed nor answering is remembered.
     support::duration forget_after = support::seconds(60);
     std::size_t max_members = 4096;
@@ -90,6 +95,13 @@
     /// Whether the agent has answered lately.
     bool is_present(support::instant now, const member& each) const;
 
+    /// Whether the agent has been silent for so long that its flows are given
+    /// up. Never while this process is cut off from most agents.
+    bool is_lost(support::instant now, const member& each) const;
+
+    /// Whether most agents have answered lately.
+    bool is_connected(support::instant now) const;
+
     /// Whether the agent would take an opening packet, as far as is known.
     bool takes_openings(support::instant now, const member& each) const;
 
@@ -159,6 +171,10 @@
     held,
     search_failed,
     overload,
+    /// Every agent has ruled out that the flow is with its server.
+    nowhere,
+    /// This balancer does not know yet what it needs to know.
+    starting,
 };
 
 absl::string_view to_string(dispatch_basis basis);
@@ -179,6 +195,13 @@
     std::vector<std::byte> packet;
 };
 
+/// A flow to be reset towards its caller.
+struct lost_flow {
+    flow::flow_key key;
+    /// The caller's last acknowledgement.
+    std::uint32_t acknowledgement = 0;
+};
+
 struct dispatcher_settings {
     opening_settings opening;
     std::size_t max_locations = 65'536;
@@ -197,6 +220,9 @@
     support::duration last_step_time = support::milliseconds(150);
     /// How fresh the configuration must be to say that there is no route.
     support::duration certain_for = support::milliseconds(3500);
+    /// How long a flow that all members have ruled out waits for the members
+    /// to be complete.
+    support::duration verdict_time = support::milliseconds(1500);
 };
 
 /// Decides about every packet that the platform's routers hand to a balancer.
@@ -218,15 +244,21 @@
                                    const flow::flow_key& key,
                                    support::endpoint agent);
 
-    /// An agent does not own the flow; `bytes` is the packet if it came back.
+    /// An agent does not own the flow.
     std::vector<released> on_absent(support::instant now,
-                                    const flow::flow_key& key,
-                                    support::endpoint agent, bool lost,
-                                    std::span<const std::byte> bytes);
+                                    const peer::absent& answer);
+
+    /// Tells whether every agent that may own a flow is a member now. Only
+    /// then is a flow that all members rule out reset.
+    void set_members_complete(bool complete);
 
     /// Goes on with searches whose step has lasted long enough.
     std::vector<released> tick(support::instant now);
 
+    /// The flows that were last seen at `agent`, whose callers must hear that
+    /// it is lost. Forgets their locations.
+    std::vector<lost_flow> take_lost(support::endpoint agent);
+
     /// Whether searches are under way, so that tick() is due soon.
     bool searching() const;
 
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -324,7 +324,9 @@
     const bool known_not_here =
         this->is_complete(now) || table.not_here.find(key) != nullptr;
     if (known_not_here) {
-        return table.absent(balancer, locating, basis::not_here);
+        action result = table.absent(balancer, locating, basis::not_here);
+        result.certain = true;
+        return result;
     }
     return table.deliver_unknown(now, packet, balancer, locating);
 }
@@ -366,8 +368,10 @@
     const question answered = *asked;
     table.questions.erase(key);
     table.not_here.put(key, true, now);
-    return table.absent(answered.balancer, answered.locating,
-                        basis::returned_by_server);
+    action result = table.absent(answered.balancer, answered.locating,
+                                 basis::returned_by_server);
+    result.certain = true;
+    return result;
 }
 
 void owner_table::on_server_packet(support::instant now,
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -117,6 +117,7 @@
     write_key(to.initKey(), body.key);
     to.setAgent(pack(body.agent));
     to.setLost(body.lost);
+    to.setCertain(body.certain);
     to.setPacket(to_data(body.packet));
 }
 
@@ -220,7 +221,8 @@
 
 static absl::StatusOr<message> read_body(schema::Absent::Reader from) {
     return absent{read_key(from.getKey()), unpack(from.getAgent()),
-                  from.getLost(), read_data(from.getPacket())};
+                  from.getLost(), from.getCertain(),
+                  read_data(from.getPacket())};
 }
 
 static absl::StatusOr<message> read_root(schema::Message::Reader root) {
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -58,6 +58,7 @@
   agent @1 :UInt64;
   lost @2 :Bool;
   packet @3 :Data;
+  certain @4 :Bool;
 }
 
 struct Message {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -903,6 +903,8 @@
   inline bool hasPacket() const;
   inline  ::capnp::Data::Reader getPacket() const;
 
+  inline bool getCertain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -951,6 +953,9 @@
   inline void adoptPacket(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPacket();
 
+  inline bool getCertain();
+  inline void setCertain(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1852,6 +1857,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Absent::Reader::getCertain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Absent::Builder::getCertain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Absent::Builder::setCertain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::guavastair::peer::schema::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -28,6 +28,10 @@
 /// A leaving server's last answers take so long at most.
 constexpr support::duration leave_time = support::milliseconds(500);
 
+/// An agent that the store refuses is known to all balancers by their peers
+/// after this.
+constexpr support::duration introduction_time = support::seconds(3);
+
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
 
@@ -70,7 +74,7 @@
           control(
               shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
-          probe(shell.loop), run_id(shell.random()) {}
+          probe(shell.loop), run_id(shell.random()), started(shell.now()) {}
 
     absl::Status run();
 
@@ -99,6 +103,9 @@
     http::response on_call(const platform::readiness_call& call);
 
     std::uint32_t cold_limit() const;
+    /// Whether every balancer knows this agent, or has had time to: one that
+    /// does not would take a flow opened here for lost.
+    bool is_known() const;
     ownership::gate_state gate(support::endpoint service_address);
     ownership::gate_state server_gate();
     peer::agent_report report();
@@ -111,6 +118,7 @@
     void on_view_changed();
     void note_condition(absl::string_view cause);
     void stop();
+    void leave();
 
     process shell;
     peer_link link;
@@ -126,10 +134,12 @@
     std::uint64_t run_id;
     std::map<support::endpoint, support::instant> balancers;
     support::instant last_ping;
+    support::instant started;
     peer::server_condition noted = peer::server_condition::unknown;
     bool was_withdrawn = false;
     bool restarting = false;
     bool stopping = false;
+    support::instant stopping_since;
     std::string published;
 };
 
@@ -140,6 +150,9 @@
         this->view.rules().find_service(this->shell.settings.service);
     const double rate =
         terms != nullptr ? terms->warm_up_rate : default_cold_rate;
+    if (terms != nullptr && rate <= 0.0) {
+        return UINT32_MAX;
+    }
     return ownership::opening_budget::limit(rate,
                                             this->shell.settings.cold_factor,
                                             this->shell.settings.cold_slack);
@@ -188,6 +201,9 @@
     if (!this->view.is_confirmed()) {
         return refuse(gate_reason::unconfirmed);
     }
+    if (!this->is_known()) {
+        return refuse(gate_reason::unregistered);
+    }
     if (rules.find_route(service_address) == nullptr) {
         return refuse(gate_reason::no_route);
     }
@@ -200,6 +216,11 @@
     return this->server_gate();
 }
 
+bool agent::is_known() const {
+    return this->registrar.is_settled() ||
+           this->shell.now() - this->started > introduction_time;
+}
+
 // -------------------------------------------------------------- packets
 
 void agent::reset(const flow::flow_key& key, std::uint32_t sequence) {
@@ -266,6 +287,7 @@
         peer::absent body;
         body.key = packet.key;
         body.agent = self;
+        body.certain = decided.certain;
         if (decided.give_back) {
             body.packet = bytes;
         }
@@ -406,7 +428,7 @@
     const ownership::gate_state state = this->server_gate();
     result.takes_openings =
         state.answer != ownership::gate_answer::refuse &&
-        this->view.is_confirmed() &&
+        this->view.is_confirmed() && this->is_known() &&
         !this->view.rules().is_withdrawn(this->shell.settings.data_centre);
     if (this->monitor.is_cold(now)) {
         result.opening_budget = this->budget.left(now, this->cold_limit());
@@ -512,10 +534,6 @@
         this->drop_flows();
         this->owner.set_complete();
     }
-    if (effect == ownership::report_effect::first &&
-        call.report.sequence <= 1) {
-        this->owner.set_complete();
-    }
     this->note_condition("report");
     this->publish();
     return platform::confirmation();
@@ -583,6 +601,10 @@
         this->monitor.expect_cold(this->shell.now());
     }
     this->was_withdrawn = withdrawn;
+    logging::line line("cold_limit");
+    line.add("of", this->shell.settings.service)
+        .add("openings_per_second", this->cold_limit());
+    this->shell.log(logging::level::info, "cold_limit", line);
 }
 
 void agent::tick() {
@@ -598,12 +620,25 @@
     }
 }
 
+/// Ends once the entry is gone from the store, or the time to stop is over.
+void agent::leave() {
+    const support::duration limit =
+        this->shell.settings.stop_grace - leave_time * 2;
+    const bool late = this->shell.now() - this->stopping_since > limit;
+    if (this->registrar.is_settled() || late) {
+        this->shell.loop.stop();
+        return;
+    }
+    this->shell.loop.call_after(tick_interval, [this] { this->leave(); });
+}
+
 void agent::stop() {
     if (this->stopping) {
         this->shell.loop.stop();
         return;
     }
     this->stopping = true;
+    this->stopping_since = this->shell.now();
     const bool server_left =
         this->monitor.condition() == peer::server_condition::gone;
     logging::line line("stopping");
@@ -612,8 +647,7 @@
     if (server_left) {
         this->drop_flows();
         this->publish();
-        this->shell.loop.call_after(leave_time,
-                                    [this] { this->shell.loop.stop(); });
+        this->shell.loop.call_after(leave_time, [this] { this->leave(); });
         return;
     }
     this->restarting = true;
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace guavastair::relay {
 
@@ -26,6 +27,13 @@
 /// Without an answer from any agent a balancer calls itself ready after this.
 constexpr support::duration longest_start = support::seconds(2);
 
+/// After this a balancer has heard of agents that the store refuses: they
+/// learn of it from the pings of others.
+constexpr support::duration acquaintance_time = support::milliseconds(700);
+
+/// How long the store's list of agents counts as whole without its word.
+constexpr support::duration list_lifetime = support::milliseconds(3500);
+
 /// A balancer that no agent has mentioned for so long is forgotten.
 constexpr support::duration balancer_lifetime = support::seconds(5);
 
@@ -66,7 +74,7 @@
     void on_caller_packet(std::span<const std::byte> bytes);
     void carry_out(const steering::dispatch& decided, const flow::flow_key& key,
                    std::span<const std::byte> bytes);
-    void reset(const flow::flow_key& key, std::uint32_t sequence);
+    void reset(std::span<const std::byte> bytes);
     void carry_out_all(const std::vector<steering::released>& released);
     void log_dispatch(const steering::dispatch& decided,
                       const flow::flow_key& key);
@@ -83,8 +91,10 @@
     void tick_searches();
     void schedule_search_tick();
     void note_presence();
+    void give_up_lost();
     http::response answer(const http::request& ask);
     bool is_ready() const;
+    bool knows_all_agents() const;
     void stop();
 
     process shell;
@@ -97,11 +107,14 @@
     std::unique_ptr<net::udp_socket> packets;
     std::map<support::endpoint, support::instant> balancers;
     std::map<support::endpoint, bool> presence;
+    std::set<support::endpoint> given_up;
     std::uint32_t ping_sequence = 0;
     bool search_tick_set = false;
     bool any_answer = false;
     bool stopping = false;
     support::instant started;
+    /// When the process last began or went on after standing still.
+    support::instant awake_since;
 };
 
 absl::Status balancer::open_packets() {
@@ -140,16 +153,21 @@
     }
     const steering::dispatch decided =
         this->dispatcher.on_packet(this->shell.now(), packet->head, bytes);
-    if (decided.kind == steering::dispatch_kind::reset) {
-        this->reset(packet->head.key, packet->head.acknowledgement);
-    }
     this->carry_out(decided, packet->head.key, bytes);
 }
 
-void balancer::reset(const flow::flow_key& key, std::uint32_t sequence) {
-    const support::endpoint caller{key.caller.address,
+/// Resets the flow of the caller's packet `bytes`.
+void balancer::reset(std::span<const std::byte> bytes) {
+    const auto packet =
+        platform::parse_packet(bytes, platform::packet_writer::caller);
+    if (!packet.has_value()) {
+        return;
+    }
+    const flow::packet& head = packet->head;
+    const support::endpoint caller{head.key.caller.address,
                                    this->shell.settings.packets.port};
-    this->packets->queue_copy(caller, platform::make_reset(key, sequence));
+    this->packets->queue_copy(
+        caller, platform::make_reset(head.key, head.acknowledgement));
 }
 
 void balancer::log_dispatch(const steering::dispatch& decided,
@@ -176,6 +194,9 @@
                          const flow::flow_key& key,
                          std::span<const std::byte> bytes) {
     this->log_dispatch(decided, key);
+    if (decided.kind == steering::dispatch_kind::reset) {
+        this->reset(bytes);
+    }
     if (decided.kind == steering::dispatch_kind::send) {
         peer::carry body;
         body.kind = decided.carry;
@@ -206,7 +227,16 @@
     });
 }
 
+/// Whether the store's list of agents is known to be whole and all agents
+/// have had time to make themselves known.
+bool balancer::knows_all_agents() const {
+    const support::instant now = this->shell.now();
+    return now - this->awake_since >= acquaintance_time &&
+           now - this->agents.last_success() <= list_lifetime;
+}
+
 void balancer::tick_searches() {
+    this->dispatcher.set_members_complete(this->knows_all_agents());
     this->carry_out_all(this->dispatcher.tick(this->shell.now()));
     this->schedule_search_tick();
 }
@@ -244,8 +274,7 @@
 }
 
 void balancer::on_body(support::endpoint /*from*/, const peer::absent& body) {
-    this->carry_out_all(this->dispatcher.on_absent(
-        this->shell.now(), body.key, body.agent, body.lost, body.packet));
+    this->carry_out_all(this->dispatcher.on_absent(this->shell.now(), body));
 }
 
 void balancer::on_agents_listed() {
@@ -290,6 +319,37 @@
         this->link.send(agent, body);
     }
     this->note_presence();
+    this->give_up_lost();
+}
+
+/// Resets the flows of agents that are lost: their callers would wait in vain.
+void balancer::give_up_lost() {
+    const support::instant now = this->shell.now();
+    if (now - this->awake_since < acquaintance_time) {
+        return;
+    }
+    for (const steering::member* each : this->members.all()) {
+        const support::endpoint agent = each->report.agent;
+        if (!this->members.is_lost(now, *each)) {
+            this->given_up.erase(agent);
+            continue;
+        }
+        if (!this->given_up.insert(agent).second) {
+            continue;
+        }
+        const auto lost = this->dispatcher.take_lost(agent);
+        logging::line line("agent_given_up");
+        line.add("agent", agent)
+            .add("silent_ms", (now - each->last_answer).ms)
+            .add("flows", lost.size());
+        this->shell.log(logging::level::warn, "agent_given_up", line);
+        for (const steering::lost_flow& flow : lost) {
+            const support::endpoint caller{flow.key.caller.address,
+                                           this->shell.settings.packets.port};
+            this->packets->queue_copy(
+                caller, platform::make_reset(flow.key, flow.acknowledgement));
+        }
+    }
 }
 
 void balancer::note_presence() {
@@ -347,6 +407,7 @@
 
 absl::Status balancer::run() {
     this->started = this->shell.now();
+    this->awake_since = this->started;
     const auto opened = [this]() -> absl::Status {
         absl::Status status =
             this->shell.handle_signals([this] { this->stop(); }, [] {});
@@ -373,7 +434,8 @@
     }
     this->agents.start();
     this->shell.watch_for_gaps([this](support::duration) {
-        this->members.on_resumed(this->shell.now());
+        this->awake_since = this->shell.now();
+        this->members.on_resumed(this->awake_since);
         this->view.on_resumed();
     });
     this->shell.loop.call_every(ping_tick, [this] { this->ping_members(); });
--- a/lib/relay/store_drivers.cpp
+++ b/lib/relay/store_drivers.cpp
@@ -46,6 +46,10 @@
     return this->follower;
 }
 
+support::instant follower_driver::last_success() const {
+    return this->confirmed_at;
+}
+
 void follower_driver::go_on() {
     this->owner.loop.cancel(this->timer);
     const auto call = this->follower.next_call(this->owner.now());
@@ -87,6 +91,7 @@
     log_store(this->owner, this->follower.settings().prefix, this->was_failing,
               absl::OkStatus());
     if (is_complete) {
+        this->confirmed_at = this->owner.now();
         this->updated();
     }
     this->go_on();
--- a/lib/relay/store_drivers.hpp
+++ b/lib/relay/store_drivers.hpp
@@ -22,6 +22,9 @@
     void start();
     const registry::follower& state() const;
 
+    /// When the store last confirmed that the entries are complete.
+    support::instant last_success() const;
+
 private:
     void go_on();
     void make_call(const registry::follower_call& call);
@@ -33,6 +36,7 @@
     registry::follower follower;
     platform::store_client client;
     net::timer_id timer;
+    support::instant confirmed_at{INT64_MIN / 2};
     bool was_failing = false;
 };
 
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace guavastair::steering {
 
@@ -13,7 +14,7 @@
 static constexpr std::array<absl::string_view, 4> dispatch_names{
     "send", "hold", "reset", "drop"};
 
-static constexpr std::array<absl::string_view, 10> basis_names{
+static constexpr std::array<absl::string_view, 12> basis_names{
     "opening",       "repeated_opening", "located",      "searching",
     "no_route",      "no_configuration", "no_candidate", "held",
     "search_failed", "overload"};
@@ -34,13 +35,21 @@
     return {from.begin(), from.end()};
 }
 
+/// Where a flow lives, and what a reset of it needs.
+struct location {
+    support::endpoint agent;
+    lost_flow flow;
+};
+
 /// The look for the owner of one flow.
 struct search {
     /// Agents that may own the flow, those already asked first.
     std::vector<support::endpoint> order;
     std::size_t asked = 0;
-    /// How many of those asked have said no.
-    std::vector<support::endpoint> denied;
+    /// Agents that have said no.
+    std::set<support::endpoint> denied;
+    /// Those of them that are certain.
+    std::set<support::endpoint> ruled_out;
     /// The packet that goes round.
     bytes packet;
     /// Packets that came meanwhile.
@@ -79,14 +88,21 @@
                           std::optional<support::endpoint> excluded);
     std::optional<dispatch> next_step(support::instant now, search& under_way);
     dispatch hold(search& under_way, std::span<const std::byte> packet) const;
+    void add_new_members(support::instant now, const flow::flow_key& key,
+                         search& under_way) const;
+    bool is_ruled_out(support::instant now, const search& under_way) const;
+    std::optional<released> go_on(support::instant now,
+                                  const flow::flow_key& key,
+                                  search& under_way);
     std::vector<released> release(const flow::flow_key& key, search found,
                                   support::endpoint agent) const;
 
     dispatcher_settings settings;
     member_table& members;
     const routing::routing_state& rules;
-    recent_map<support::endpoint> locations;
+    recent_map<location> locations;
     absl::flat_hash_map<flow::flow_key, search> searches;
+    bool members_complete = false;
 };
 
 dispatch dispatcher::implementation::offer(support::instant now,
@@ -100,13 +116,14 @@
                                 this->rules, *service, hash);
     }
     if (chosen.empty()) {
-        return refuse(dispatch_kind::reset, dispatch_basis::no_candidate);
+        return this->members.size() == 0
+                   ? refuse(dispatch_kind::drop, dispatch_basis::starting)
+                   : refuse(dispatch_kind::reset, dispatch_basis::no_candidate);
     }
     dispatch result = send_to(chosen.front(), dispatch_basis::opening);
     result.carry = peer::carry_kind::open;
     result.candidates.assign(chosen.begin() + 1, chosen.end());
     this->members.on_opening_sent(chosen.front());
-    this->locations.put(hash, chosen.front(), now);
     return result;
 }
 
@@ -123,15 +140,18 @@
                       dispatch_basis::no_route);
     }
     const std::uint64_t hash = flow::flow_hash(packet.key);
-    const support::endpoint* located = this->locations.find(hash);
-    if (located == nullptr) {
-        return this->offer(now, *target, hash);
-    }
-    const member* each = this->members.find(*located);
+    const location* located = this->locations.find(hash);
+    const member* each =
+        located == nullptr ? nullptr : this->members.find(located->agent);
     if (each == nullptr || !this->members.is_present(now, *each)) {
-        return this->offer(now, *target, hash);
+        dispatch result = this->offer(now, *target, hash);
+        if (result.kind == dispatch_kind::send) {
+            this->locations.put(hash, {result.to.front(), {packet.key, 0}},
+                                now);
+        }
+        return result;
     }
-    dispatch result = send_to(*located, dispatch_basis::repeated_opening);
+    dispatch result = send_to(located->agent, dispatch_basis::repeated_opening);
     result.carry = peer::carry_kind::open;
     const support::service_name* service =
         routing::choose_service(target->services, hash);
@@ -139,7 +159,7 @@
         result.candidates =
             choose_opening(now, this->settings.opening, this->members,
                            this->rules, *service, hash);
-        std::erase(result.candidates, *located);
+        std::erase(result.candidates, located->agent);
     }
     return result;
 }
@@ -177,7 +197,11 @@
                                this->rules.services_of(key.service),
                                flow::flow_hash(key));
     if (excluded.has_value()) {
+        // It has answered already: as if it had been asked first.
         std::erase(begun.order, *excluded);
+        begun.order.insert(begun.order.begin(), *excluded);
+        begun.denied.insert(*excluded);
+        begun.asked = 1;
     }
     begun.packet = copy(packet);
     const auto step = this->next_step(now, begun);
@@ -223,12 +247,12 @@
         return state.open(now, packet);
     }
     const std::uint64_t hash = flow::flow_hash(packet.key);
-    if (const support::endpoint* located = state.locations.find(hash)) {
-        const support::endpoint agent = *located;
-        const member* each = state.members.find(agent);
+    if (location* located = state.locations.find(hash)) {
+        const member* each = state.members.find(located->agent);
         if (each != nullptr && state.members.is_present(now, *each)) {
+            located->flow.acknowledgement = packet.acknowledgement;
             state.locations.touch(hash, now);
-            return send_to(agent, dispatch_basis::located);
+            return send_to(located->agent, dispatch_basis::located);
         }
     }
     const auto found = state.searches.find(packet.key);
@@ -242,7 +266,12 @@
                                            const flow::flow_key& key,
                                            support::endpoint agent) {
     implementation& state = *this->self;
-    state.locations.put(flow::flow_hash(key), agent, now);
+    const std::uint64_t hash = flow::flow_hash(key);
+    if (location* located = state.locations.find(hash)) {
+        located->agent = agent;
+    } else {
+        state.locations.put(hash, {agent, {key, 0}}, now);
+    }
     const auto found = state.searches.find(key);
     if (found == state.searches.end()) {
         return {};
@@ -252,42 +281,102 @@
     return state.release(key, std::move(ended), agent);
 }
 
+void dispatcher::implementation::add_new_members(support::instant now,
+                                                 const flow::flow_key& key,
+                                                 search& under_way) const {
+    const auto order = search_order(now, this->settings.opening, this->members,
+                                    this->rules.services_of(key.service),
+                                    flow::flow_hash(key));
+    for (const support::endpoint agent : order) {
+        const bool known = std::find(under_way.order.begin(),
+                                     under_way.order.end(),
+                                     agent) != under_way.order.end();
+        if (!known) {
+            under_way.order.push_back(agent);
+        }
+    }
+}
+
+bool dispatcher::implementation::is_ruled_out(
+    support::instant now, const search& under_way) const {
+    const std::vector<const member*> all = this->members.all();
+    return !all.empty() &&
+           std::all_of(all.begin(), all.end(), [&](const member* each) {
+               return under_way.ruled_out.count(each->report.agent) != 0 ||
+                      this->members.is_lost(now, *each);
+           });
+}
+
+/// Takes a search further that need not wait any longer for the agents asked.
+/// Returns nothing if there is no more to be done for now.
+std::optional<released>
+dispatcher::implementation::go_on(support::instant now,
+                                  const flow::flow_key& key,
+                                  search& under_way) {
+    if (under_way.asked == under_way.order.size()) {
+        this->add_new_members(now, key, under_way);
+    }
+    if (const auto step = this->next_step(now, under_way)) {
+        return released{key, *step, under_way.packet};
+    }
+    if (this->members_complete && this->is_ruled_out(now, under_way)) {
+        return released{
+            key, refuse(dispatch_kind::reset, dispatch_basis::nowhere),
+            under_way.held.empty() ? under_way.packet : under_way.held.back()};
+    }
+    return std::nullopt;
+}
+
 std::vector<released> dispatcher::on_absent(support::instant now,
-                                            const flow::flow_key& key,
-                                            support::endpoint agent, bool lost,
-                                            std::span<const std::byte> bytes) {
+                                            const peer::absent& answer) {
     implementation& state = *this->self;
-    const std::uint64_t hash = flow::flow_hash(key);
-    const support::endpoint* located = state.locations.find(hash);
-    if (located != nullptr && *located == agent) {
+    const std::uint64_t hash = flow::flow_hash(answer.key);
+    const location* located = state.locations.find(hash);
+    if (located != nullptr && located->agent == answer.agent) {
         state.locations.erase(hash);
     }
-    const auto found = state.searches.find(key);
-    if (lost) {
-        state.searches.erase(key);
+    if (answer.lost) {
+        state.searches.erase(answer.key);
+        return {};
+    }
+    auto found = state.searches.find(answer.key);
+    if (found == state.searches.end() && answer.packet.empty()) {
         return {};
     }
     if (found == state.searches.end()) {
-        if (bytes.empty()) {
-            return {};
+        const dispatch begun =
+            state.begin_search(now, answer.key, answer.packet, answer.agent);
+        found = state.searches.find(answer.key);
+        if (found != state.searches.end() && answer.certain) {
+            found->second.ruled_out.insert(answer.agent);
         }
-        return {{key, state.begin_search(now, key, bytes, agent), copy(bytes)}};
+        return {{answer.key, begun,
+                 bytes(answer.packet.begin(), answer.packet.end())}};
     }
     search& under_way = found->second;
-    if (!bytes.empty()) {
-        state.hold(under_way, bytes);
+    if (answer.certain) {
+        under_way.ruled_out.insert(answer.agent);
+    }
+    if (!answer.packet.empty()) {
+        state.hold(under_way, answer.packet);
         return {};
     }
-    under_way.denied.push_back(agent);
+    under_way.denied.insert(answer.agent);
     if (under_way.denied.size() < under_way.asked) {
         return {};
     }
-    const auto step = state.next_step(now, under_way);
-    if (!step.has_value()) {
-        state.searches.erase(found);
+    const auto next = state.go_on(now, answer.key, under_way);
+    if (!next.has_value()) {
         return {};
     }
-    return {{key, *step, under_way.packet}};
+    if (next->step.kind == dispatch_kind::reset) {
+        state.searches.erase(found);
+    }
+    return {*next};
+}
+
+void dispatcher::set_members_complete(bool complete) {
+    this->self->members_complete = complete;
 }
 
 std::vector<released> dispatcher::tick(support::instant now) {
@@ -300,20 +389,37 @@
         if (waited < state.settings.step_time) {
             continue;
         }
-        const bool all_asked = under_way.asked == under_way.order.size();
-        if (all_asked && waited > state.settings.last_step_time) {
-            state.searches.erase(current);
+        if (auto next = state.go_on(now, current->first, under_way)) {
+            const bool ends = next->step.kind == dispatch_kind::reset;
+            result.push_back(*std::move(next));
+            if (ends) {
+                state.searches.erase(current);
+            }
             continue;
         }
-        const auto step = state.next_step(now, under_way);
-        if (step.has_value()) {
-            result.push_back({current->first, *step, under_way.packet});
+        const support::duration limit = state.is_ruled_out(now, under_way)
+                                            ? state.settings.verdict_time
+                                            : state.settings.last_step_time;
+        if (waited > limit) {
+            state.searches.erase(current);
         }
     }
     state.locations.expire(now);
     return result;
 }
 
+std::vector<lost_flow> dispatcher::take_lost(support::endpoint agent) {
+    std::vector<lost_flow> lost;
+    this->self->locations.erase_if([&](const location& each) {
+        if (each.agent != agent) {
+            return false;
+        }
+        lost.push_back(each.flow);
+        return true;
+    });
+    return lost;
+}
+
 bool dispatcher::searching() const {
     return !this->self->searches.empty();
 }
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -1,5 +1,6 @@
 #include <guavastair/steering.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace guavastair::steering {
@@ -11,6 +12,7 @@
 
     member_settings settings;
     std::map<support::endpoint, member> members;
+    support::instant resumed_at{INT64_MIN / 2};
 };
 
 member* member_table::implementation::add(support::instant now,
@@ -86,6 +88,7 @@
 }
 
 void member_table::on_resumed(support::instant now) {
+    this->self->resumed_at = now;
     for (auto& [agent, each] : this->self->members) {
         each.last_answer = now;
         each.last_ping = now - this->self->settings.absent_ping_interval;
@@ -130,8 +133,33 @@
            now - each.last_answer <= this->self->settings.dark_after;
 }
 
+bool member_table::is_connected(support::instant now) const {
+    std::size_t answered = 0;
+    std::size_t present = 0;
+    for (const auto& [agent, each] : this->self->members) {
+        answered += each.answered ? 1 : 0;
+        present += this->is_present(now, each) ? 1 : 0;
+    }
+    return present > 0 && 2 * present >= answered;
+}
+
+bool member_table::is_lost(support::instant now, const member& each) const {
+    const member_settings& settings = this->self->settings;
+    const support::duration limit = each.report.restarting
+                                        ? settings.restart_time
+                                        : settings.lost_after;
+    return now - std::max(each.last_answer, this->self->resumed_at) > limit &&
+           this->is_connected(now);
+}
+
 bool member_table::takes_openings(support::instant now,
                                   const member& each) const {
+    // A listed agent that has not had time to answer decides for itself.
+    const bool is_new = !each.answered && now - each.first_seen <=
+                                              this->self->settings.dark_after;
+    if (is_new) {
+        return true;
+    }
     return this->is_present(now, each) && each.report.takes_openings &&
            !each.report.restarting &&
            each.openings_since_report < each.report.opening_budget;
