Entries without leases; a flow's loss is known as soon as the list is whole

Cause: a balancer had to wait 0.7 s after its start before it could say that no agent has a flow, because an entry under a lease may vanish while its agent lives. Watches of 2.5 s made up most of the store calls. Change: entries hang on no lease and are removed by their agent when its server has left; balancers tell agents whether they are listed, and an agent takes flows only once it is. Watches wait 4 to 8 s at random; peers' views show a silent connection sooner. While agents start, an opening is dropped, not reset, so that the caller's own copy finds them ready.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -213,6 +213,8 @@
     lost_with_server,
     returned_by_server,
     table_full,
+    /// The agent does not know yet what it needs to know.
+    starting,
 };
 
 absl::string_view to_string(basis why);
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -84,11 +84,15 @@
     bool operator==(const view_summary&) const = default;
 };
 
+enum class listing : std::uint8_t { unknown, absent, present };
+
 /// A balancer asks an agent for its report. Also tells the agent that the
 /// balancer is there.
 struct ping {
     std::uint32_t sequence = 0;
     view_summary view;
+    /// Whether the store lists the receiver, as far as the sender knows.
+    listing listed = listing::unknown;
     /// Balancers that the sender knows, itself left out.
     std::vector<support::endpoint> balancers;
 
--- a/include/guavastair/registry.hpp
+++ b/include/guavastair/registry.hpp
@@ -25,13 +25,6 @@
 
 // --------------------------------------------------------------- store
 
-/// Identifies a lease; 0 stands for none.
-struct lease_id {
-    std::int64_t value = 0;
-
-    auto operator<=>(const lease_id&) const = default;
-};
-
 /// One key as the store holds it.
 struct entry {
     std::string key;
@@ -70,7 +63,7 @@
 ///
 /// Errors: error_kind::store_unavailable for a call that had no effect,
 /// error_kind::write_outcome_unknown for a write that may have one, now or
-/// later, error_kind::not_found for a lease that has ended.
+/// later.
 class store {
 public:
     template <typename Value>
@@ -87,14 +80,9 @@
     virtual void watch(const std::string& prefix, support::revision after,
                        support::duration wait, callback<changes> call) = 0;
 
-    virtual void grant_lease(support::duration ttl,
-                             callback<lease_id> call) = 0;
-    virtual void renew_lease(lease_id lease, done call) = 0;
     virtual void put(const std::string& key, const std::string& value,
-                     lease_id lease, done call) = 0;
-    /// Ends the lease; its keys go with it, and a put that is still on its
-    /// way finds no lease.
-    virtual void end_lease(lease_id lease, done call) = 0;
+                     done call) = 0;
+    virtual void remove(const std::string& key, done call) = 0;
 };
 
 // ------------------------------------------------------------- backoff
@@ -120,9 +108,10 @@
 
 struct follower_settings {
     std::string prefix;
-    /// How long one watch waits: a connection that has gone silent is noticed
-    /// after this and the client's own timeout.
-    support::duration watch_time = support::milliseconds(2500);
+    /// How long one watch waits at most; each waits a random time from half of
+    /// this on, so that of many processes some soon notice a connection that
+    /// has gone silent, and tell the others.
+    support::duration watch_time = support::seconds(8);
     support::duration shortest_pause = support::milliseconds(100);
     support::duration longest_pause = support::milliseconds(1000);
 };
@@ -133,6 +122,7 @@
 };
 struct watch_call {
     support::revision after;
+    support::duration wait;
 };
 using follower_call = std::variant<list_call, watch_call>;
 
@@ -167,6 +157,7 @@
 private:
     follower_settings chosen;
     backoff pause;
+    std::minstd_rand random;
     std::map<std::string, entry> held;
     std::map<std::string, entry> listing;
     std::string list_after;
@@ -183,28 +174,18 @@
 
 struct registrar_settings {
     std::string key;
-    /// Outlives a restart of everything, so that who may own a flow stays
-    /// listed, and three failed renewals.
-    support::duration lease_ttl = support::seconds(15);
-    support::duration renew_interval = support::seconds(4);
     support::duration shortest_pause = support::milliseconds(100);
     support::duration longest_pause = support::milliseconds(1500);
 };
 
-struct grant_call {};
-struct renew_call {
-    lease_id lease;
-};
 struct put_call {
     std::string value;
-    lease_id lease;
-};
-struct end_call {
-    lease_id lease;
 };
-using registrar_call = std::variant<grant_call, renew_call, put_call, end_call>;
+struct remove_call {};
+using registrar_call = std::variant<put_call, remove_call>;
 
-/// Keeps one entry in the store as wanted, under a lease.
+/// Keeps one entry in the store as wanted. The entry hangs on no lease: it
+/// must outlive a restart of everything, for others to know who may own flows.
 class registrar {
 public:
     registrar(registrar_settings chosen, std::uint64_t seed);
@@ -215,13 +196,12 @@
     std::optional<registrar_call> next_call(support::instant now);
     support::instant wake_at() const;
 
-    void on_granted(support::instant now, lease_id lease);
-    void on_renewed(support::instant now);
-    void on_put(support::instant now);
-    /// The lease has ended at the store, and the entry with it.
-    void on_lease_ended(support::instant now);
+    void on_done();
     void on_failure(support::instant now);
 
+    /// Somebody has seen that the entry is not there.
+    void on_missing();
+
     /// Whether the store holds what is wanted, as far as is known.
     bool is_settled() const;
     const registrar_settings& settings() const;
@@ -230,11 +210,11 @@
     registrar_settings chosen;
     backoff pause;
     std::optional<std::string> wanted;
-    /// What the store holds; empty if nothing, unset inside if not known.
+    /// What the store holds, if that is known.
     std::optional<std::string> written;
     std::optional<std::string> writing;
-    lease_id lease;
-    support::instant renewed;
+    /// Whether the store may hold anything.
+    bool may_exist = false;
     support::instant not_before{INT64_MIN / 2};
     bool under_way = false;
 };
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -20,28 +20,19 @@
 static constexpr std::uint32_t max_first_acknowledgement = 1U << 20;
 
 static constexpr std::array<absl::string_view, gate_reason_count> reason_names{
-    "open",
-    "no_configuration",
-    "unconfirmed",
-    "no_route",
-    "foreign_service",
-    "withdrawn",
-    "server_unknown",
-    "draining",
-    "silent",
-    "gone",
-    "cold",
-    "busy",
-    "full"};
+    "open",       "no_configuration", "unconfirmed",    "unregistered",
+    "no_route",   "foreign_service",  "withdrawn",      "server_unknown",
+    "draining",   "silent",           "gone",           "cold",
+    "busy",       "full"};
 
 static constexpr std::array<absl::string_view, 5> action_names{
     "deliver", "pass_on", "answer_absent", "reset", "drop"};
 
-static constexpr std::array<absl::string_view, 10> basis_names{
+static constexpr std::array<absl::string_view, 11> basis_names{
     "owned",     "opened",           "repeated_opening",
     "passed",    "turned_away",      "asked_server",
     "not_here",  "lost_with_server", "returned_by_server",
-    "table_full"};
+    "table_full", "starting"};
 
 absl::string_view to_string(gate_reason reason) {
     return reason_names[static_cast<std::size_t>(reason)];
@@ -55,6 +46,14 @@
     return basis_names[static_cast<std::size_t>(why)];
 }
 
+/// Whether what keeps the gate shut passes within a caller's next try.
+static bool is_starting(gate_reason reason) {
+    return reason == gate_reason::no_configuration ||
+           reason == gate_reason::unconfirmed ||
+           reason == gate_reason::unregistered ||
+           reason == gate_reason::server_unknown;
+}
+
 namespace {
 
 enum class stage : std::uint8_t {
@@ -279,6 +278,13 @@
     const bool declined =
         gate.answer == gate_answer::refuse ||
         (gate.answer == gate_answer::prefer_other && others_exist);
+    if (declined && !others_exist && is_starting(gate.reason)) {
+        // The caller sends its opening packet again soon.
+        action result;
+        result.why = basis::starting;
+        result.balancer = balancer;
+        return result;
+    }
     if (declined) {
         return this->self->pass_on(std::move(candidates), balancer,
                                    basis::passed);
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -71,6 +71,7 @@
 static void write_body(schema::Message::Builder root, const ping& body) {
     auto to = root.initPing();
     to.setSequence(body.sequence);
+    to.setListed(static_cast<std::uint8_t>(body.listed));
     write_view(to.initView(), body.view);
     write_list(to.initBalancers(listed(body.balancers)), body.balancers);
 }
@@ -169,7 +170,13 @@
 }
 
 static absl::StatusOr<message> read_body(schema::Ping::Reader from) {
-    ping body{from.getSequence(), read_view(from.getView()), {}};
+    if (from.getListed() > static_cast<std::uint8_t>(listing::present)) {
+        return malformed("unknown listing");
+    }
+    ping body;
+    body.sequence = from.getSequence();
+    body.view = read_view(from.getView());
+    body.listed = static_cast<listing>(from.getListed());
     if (!read_list(from.getBalancers(), body.balancers)) {
         return malformed("too many balancers");
     }
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -32,6 +32,7 @@
   sequence @0 :UInt32;
   view @1 :View;
   balancers @2 :List(UInt64);
+  listed @3 :UInt8;
 }
 
 struct Pong {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -505,6 +505,8 @@
   inline bool hasBalancers() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBalancers() const;
 
+  inline  ::uint8_t getListed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -551,6 +553,9 @@
   inline void adoptBalancers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBalancers();
 
+  inline  ::uint8_t getListed();
+  inline void setListed( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1473,6 +1478,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t Ping::Reader::getListed() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Ping::Builder::getListed() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Ping::Builder::setListed( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Pong::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/registry/follower.cpp
+++ b/lib/registry/follower.cpp
@@ -4,7 +4,8 @@
 
 follower::follower(follower_settings wanted, std::uint64_t seed)
     : chosen(std::move(wanted)),
-      pause(this->chosen.shortest_pause, this->chosen.longest_pause, seed) {}
+      pause(this->chosen.shortest_pause, this->chosen.longest_pause, seed),
+      random(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 std::optional<follower_call> follower::next_call(support::instant now) {
     if (this->under_way || now < this->not_before) {
@@ -14,7 +15,9 @@
     if (this->must_list) {
         return list_call{this->list_after};
     }
-    return watch_call{this->complete_up_to};
+    std::uniform_int_distribution<std::int64_t> choose(
+        this->chosen.watch_time.ms / 2, this->chosen.watch_time.ms);
+    return watch_call{this->complete_up_to, {choose(this->random)}};
 }
 
 support::instant follower::wake_at() const {
--- a/lib/registry/registrar.cpp
+++ b/lib/registry/registrar.cpp
@@ -11,75 +11,43 @@
 }
 
 std::optional<registrar_call> registrar::next_call(support::instant now) {
-    if (this->under_way || now < this->not_before) {
+    if (this->under_way || now < this->not_before || this->is_settled()) {
         return std::nullopt;
     }
+    this->under_way = true;
+    this->writing = this->wanted;
+    this->written.reset();
     if (!this->wanted.has_value()) {
-        if (this->lease.value == 0) {
-            return std::nullopt;
-        }
-        this->under_way = true;
-        return end_call{this->lease};
-    }
-    if (this->lease.value == 0) {
-        this->under_way = true;
-        return grant_call{};
-    }
-    if (this->written != this->wanted) {
-        this->under_way = true;
-        this->writing = this->wanted;
-        return put_call{*this->wanted, this->lease};
+        return remove_call{};
     }
-    if (now - this->renewed >= this->chosen.renew_interval) {
-        this->under_way = true;
-        return renew_call{this->lease};
-    }
-    return std::nullopt;
+    this->may_exist = true;
+    return put_call{*this->wanted};
 }
 
 support::instant registrar::wake_at() const {
-    const support::instant renew_at =
-        this->renewed + this->chosen.renew_interval;
-    return this->is_settled() ? std::max(renew_at, this->not_before)
-                              : this->not_before;
-}
-
-void registrar::on_granted(support::instant now, lease_id granted) {
-    this->under_way = false;
-    this->pause.succeed();
-    this->lease = granted;
-    this->renewed = now;
-}
-
-void registrar::on_renewed(support::instant now) {
-    this->under_way = false;
-    this->pause.succeed();
-    this->renewed = now;
+    return this->not_before;
 }
 
-void registrar::on_put(support::instant /*now*/) {
+void registrar::on_done() {
     this->under_way = false;
     this->pause.succeed();
     this->written = std::move(this->writing);
+    this->may_exist = this->written.has_value();
     this->writing.reset();
 }
 
-void registrar::on_lease_ended(support::instant /*now*/) {
-    this->under_way = false;
-    this->pause.succeed();
-    this->lease = {};
-    this->written.reset();
-}
-
 void registrar::on_failure(support::instant now) {
     this->under_way = false;
     this->not_before = now + this->pause.next();
 }
 
+void registrar::on_missing() {
+    this->written.reset();
+}
+
 bool registrar::is_settled() const {
-    return this->wanted.has_value()
-               ? this->lease.value != 0 && this->written == this->wanted
-               : this->lease.value == 0;
+    return this->wanted.has_value() ? this->written == this->wanted
+                                    : !this->may_exist;
 }
 
 const registrar_settings& registrar::settings() const {
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -25,12 +25,15 @@
 /// A balancer that has not pinged for so long is no longer listed to others.
 constexpr support::duration balancer_lifetime = support::seconds(3);
 
+/// A new entry may take so long to reach a balancer's list.
+constexpr support::duration listing_lag = support::seconds(2);
+
 /// A leaving server's last answers take so long at most.
 constexpr support::duration leave_time = support::milliseconds(500);
 
-/// An agent that the store refuses is known to all balancers by their peers
-/// after this.
-constexpr support::duration introduction_time = support::seconds(3);
+/// An agent that was never listed, because the store refuses it, takes flows
+/// after this: all balancers know it by their peers.
+constexpr support::duration introduction_time = support::seconds(8);
 
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
@@ -110,6 +113,7 @@
     ownership::gate_state server_gate();
     peer::agent_report report();
     void publish();
+    void note_listing(peer::listing listed);
     void tick();
     void start_probe();
     void on_probe(http::connect_probe::answer found);
@@ -137,10 +141,13 @@
     support::instant started;
     peer::server_condition noted = peer::server_condition::unknown;
     bool was_withdrawn = false;
+    /// Whether a balancer has seen this agent's entry in the store.
+    bool is_listed = false;
     bool restarting = false;
     bool stopping = false;
     support::instant stopping_since;
     std::string published;
+    support::instant published_at;
 };
 
 // ---------------------------------------------------------------- gates
@@ -217,7 +224,7 @@
 }
 
 bool agent::is_known() const {
-    return this->registrar.is_settled() ||
+    return this->is_listed || this->registrar.is_settled() ||
            this->shell.now() - this->started > introduction_time;
 }
 
@@ -391,6 +398,7 @@
         this->shell.log(logging::level::info, "balancer_found", line);
     }
     this->view.on_peer_view(from, body.view);
+    this->note_listing(body.listed);
     for (const support::endpoint other : body.balancers) {
         if (this->balancers.count(other) == 0) {
             // It has not pinged: it does not know this agent.
@@ -410,6 +418,23 @@
     this->link.send(from, answer);
 }
 
+void agent::note_listing(peer::listing listed) {
+    const support::instant now = this->shell.now();
+    if (listed == peer::listing::present) {
+        this->is_listed = true;
+    }
+    if (listed != peer::listing::absent ||
+        now - this->published_at <= listing_lag) {
+        return;
+    }
+    this->is_listed = false;
+    this->published_at = now;
+    this->registrar.on_missing();
+    logging::line line("entry_missing");
+    line.add("agent", this->shell.settings.peers);
+    this->shell.log(logging::level::warn, "entry_missing", line);
+}
+
 void agent::on_body(support::endpoint from, const peer::pong& body) {
     this->view.on_peer_view(from, body.view);
 }
@@ -459,6 +484,7 @@
         return;
     }
     this->published = value;
+    this->published_at = this->shell.now();
     this->registrar.set_wanted(std::move(value));
 }
 
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -27,12 +27,13 @@
 /// Without an answer from any agent a balancer calls itself ready after this.
 constexpr support::duration longest_start = support::seconds(2);
 
-/// After this a balancer has heard of agents that the store refuses: they
-/// learn of it from the pings of others.
-constexpr support::duration acquaintance_time = support::milliseconds(700);
+/// How long after its start, or after it stood still, a balancer gives up no
+/// agent.
+constexpr support::duration settling_time = support::milliseconds(1500);
 
-/// How long the store's list of agents counts as whole without its word.
-constexpr support::duration list_lifetime = support::milliseconds(3500);
+/// How long the store's list of agents counts as whole without its word: the
+/// longest watch and the client's time for it.
+constexpr support::duration list_lifetime = support::seconds(9);
 
 /// A balancer that no agent has mentioned for so long is forgotten.
 constexpr support::duration balancer_lifetime = support::seconds(5);
@@ -88,6 +89,7 @@
 
     void on_agents_listed();
     void ping_members();
+    peer::listing listing_of(support::endpoint agent) const;
     void tick_searches();
     void schedule_search_tick();
     void note_presence();
@@ -227,12 +229,12 @@
     });
 }
 
-/// Whether the store's list of agents is known to be whole and all agents
-/// have had time to make themselves known.
+/// Whether the store's list of agents is known to be whole. An agent takes no
+/// flow before it is in that list.
 bool balancer::knows_all_agents() const {
-    const support::instant now = this->shell.now();
-    return now - this->awake_since >= acquaintance_time &&
-           now - this->agents.last_success() <= list_lifetime;
+    const support::instant listed = this->agents.last_success();
+    return listed >= this->awake_since &&
+           this->shell.now() - listed <= list_lifetime;
 }
 
 void balancer::tick_searches() {
@@ -301,6 +303,14 @@
     this->ping_members();
 }
 
+peer::listing balancer::listing_of(support::endpoint agent) const {
+    const steering::member* each = this->members.find(agent);
+    if (each == nullptr || !this->knows_all_agents()) {
+        return peer::listing::unknown;
+    }
+    return each->listed ? peer::listing::present : peer::listing::absent;
+}
+
 void balancer::ping_members() {
     const support::instant now = this->shell.now();
     const auto due = this->members.due_for_ping(now);
@@ -316,6 +326,7 @@
         }
     }
     for (const support::endpoint agent : due) {
+        body.listed = this->listing_of(agent);
         this->link.send(agent, body);
     }
     this->note_presence();
@@ -325,7 +336,7 @@
 /// Resets the flows of agents that are lost: their callers would wait in vain.
 void balancer::give_up_lost() {
     const support::instant now = this->shell.now();
-    if (now - this->awake_since < acquaintance_time) {
+    if (now - this->awake_since < settling_time) {
         return;
     }
     for (const steering::member* each : this->members.all()) {
--- a/lib/relay/store_drivers.cpp
+++ b/lib/relay/store_drivers.cpp
@@ -4,9 +4,6 @@
 
 namespace guavastair::relay {
 
-/// Least time between two looks at a registrar that has nothing to do.
-static constexpr support::duration shortest_wait = support::milliseconds(10);
-
 static platform::store_client_settings client_settings(const process& owner) {
     platform::store_client_settings result;
     result.store = owner.settings.store;
@@ -76,7 +73,7 @@
         return;
     }
     const auto& watch = std::get<registry::watch_call>(call);
-    this->client.watch(chosen.prefix, watch.after, chosen.watch_time,
+    this->client.watch(chosen.prefix, watch.after, watch.wait,
                        [this](const absl::StatusOr<registry::changes>& got) {
                            if (got.ok()) {
                                this->succeeded(this->follower.on_changes(
@@ -118,64 +115,44 @@
     return this->registrar.is_settled();
 }
 
+void registrar_driver::on_missing() {
+    this->registrar.on_missing();
+    this->go_on();
+}
+
 void registrar_driver::go_on() {
     this->owner.loop.cancel(this->timer);
-    const auto call = this->registrar.next_call(this->owner.now());
+    const support::instant now = this->owner.now();
+    const auto call = this->registrar.next_call(now);
     if (call.has_value()) {
         this->make_call(*call);
         return;
     }
-    const support::duration wait =
-        std::max(this->registrar.wake_at() - this->owner.now(), shortest_wait);
-    this->timer = this->owner.loop.call_after(wait, [this] { this->go_on(); });
+    if (this->registrar.wake_at() > now) {
+        this->timer = this->owner.loop.call_after(
+            this->registrar.wake_at() - now, [this] { this->go_on(); });
+    }
 }
 
 void registrar_driver::make_call(const registry::registrar_call& call) {
-    using registry::registrar;
-    const auto finish = [this](void (registrar::*done)(support::instant)) {
-        return [this, done](const absl::Status& status) {
-            this->ended(status, done);
-        };
+    const auto finish = [this](const absl::Status& status) {
+        this->ended(status);
     };
-    if (std::holds_alternative<registry::grant_call>(call)) {
-        const support::duration ttl =
-            std::max(this->registrar.settings().lease_ttl,
-                     this->owner.settings.shortest_lease);
-        this->client.grant_lease(
-            ttl, [this](const absl::StatusOr<registry::lease_id>& got) {
-                if (got.ok()) {
-                    this->registrar.on_granted(this->owner.now(), *got);
-                    this->go_on();
-                } else {
-                    this->ended(got.status(), nullptr);
-                }
-            });
-    } else if (const auto* renew = std::get_if<registry::renew_call>(&call)) {
-        this->client.renew_lease(renew->lease, finish(&registrar::on_renewed));
-    } else if (const auto* put = std::get_if<registry::put_call>(&call)) {
-        this->client.put(this->registrar.settings().key, put->value, put->lease,
-                         finish(&registrar::on_put));
+    const std::string& key = this->registrar.settings().key;
+    if (const auto* put = std::get_if<registry::put_call>(&call)) {
+        this->client.put(key, put->value, finish);
     } else {
-        this->client.end_lease(std::get<registry::end_call>(call).lease,
-                               finish(&registrar::on_lease_ended));
+        this->client.remove(key, finish);
     }
 }
 
-void registrar_driver::ended(
-    const absl::Status& status,
-    void (registry::registrar::*done)(support::instant)) {
-    const support::instant now = this->owner.now();
-    const bool lapsed = !status.ok() && support::kind_of(status) ==
-                                            support::error_kind::not_found;
-    if (lapsed) {
-        this->registrar.on_lease_ended(now);
-    } else if (status.ok()) {
-        (this->registrar.*done)(now);
+void registrar_driver::ended(const absl::Status& status) {
+    log_store(this->owner, "registration", this->was_failing, status);
+    if (status.ok()) {
+        this->registrar.on_done();
     } else {
-        this->registrar.on_failure(now);
+        this->registrar.on_failure(this->owner.now());
     }
-    log_store(this->owner, "registration", this->was_failing,
-              lapsed ? absl::OkStatus() : status);
     this->go_on();
 }
 
--- a/lib/relay/store_drivers.hpp
+++ b/lib/relay/store_drivers.hpp
@@ -49,11 +49,13 @@
     void set_wanted(std::optional<std::string> value);
     bool is_settled() const;
 
+    /// Somebody has seen that the entry is not in the store.
+    void on_missing();
+
 private:
     void go_on();
     void make_call(const registry::registrar_call& call);
-    void ended(const absl::Status& status,
-               void (registry::registrar::*done)(support::instant));
+    void ended(const absl::Status& status);
 
     process& owner;
     registry::registrar registrar;
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -17,7 +17,7 @@
 static constexpr std::array<absl::string_view, 12> basis_names{
     "opening",       "repeated_opening", "located",      "searching",
     "no_route",      "no_configuration", "no_candidate", "held",
-    "search_failed", "overload"};
+    "search_failed", "overload",         "nowhere",      "starting"};
 
 absl::string_view to_string(dispatch_kind kind) {
     return dispatch_names[static_cast<std::size_t>(kind)];
