Remember long flows in the store and reset them after a loss of power

Cause: after a loss of all power nobody knows which flows were open, so callers learn it only with their own next packet: a request on a pooled flow that may not be repeated is lost, and one that waits out its third repetition is late. Once the server is proved to be another one (its report names another start, it gives two of the flows back, or nothing listens), their callers get a reset.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -235,13 +235,6 @@
     bool certain = false;
 };
 
-/// A flow that is to be reset towards its caller.
-struct reset_order {
-    flow::flow_key key;
-    /// The sequence number for the reset.
-    std::uint32_t sequence = 0;
-};
-
 struct owner_settings {
     std::size_t max_flows = 65'536;
     /// Flows known not to be here, or lost, that are remembered.
@@ -285,12 +278,17 @@
 
     /// The server is gone or is another one: none of the flows lives on.
     /// Returns the flows whose callers must hear of it.
-    std::vector<reset_order> on_server_lost(support::instant now);
+    std::vector<peer::listed_flow> on_server_lost(support::instant now);
 
     /// The agent has seen the server start: it knows all of its flows.
     void set_complete();
     bool is_complete(support::instant now) const;
 
+    /// The open flows that have lasted for `least_age`, in the order of their
+    /// keys.
+    std::vector<peer::listed_flow> open_flows(support::instant now,
+                                              support::duration least_age) const;
+
     /// Forgets what has expired. Call it several times a second: it also
     /// averages the work in progress.
     void tick(support::instant now);
@@ -303,6 +301,63 @@
     std::unique_ptr<implementation> self;
 };
 
+// --------------------------------------------------------- flow ledger
+
+struct ledger_settings {
+    /// Least time between two writes; longer where many agents share a store.
+    support::duration write_interval = support::seconds(2);
+    /// Flows that end sooner are not worth a write.
+    support::duration least_age = support::milliseconds(1000);
+    /// A caller's acknowledgement may have moved by so much before the list is
+    /// written again: well within what a reset may be off by.
+    std::uint32_t max_drift = 24'000;
+    /// A remembered list older than this says nothing: its flows have ended.
+    /// Counted from the agent's start.
+    support::duration recall_time = support::seconds(10);
+    /// Remembered flows that the server must give back, none having spoken,
+    /// to prove that it has forgotten all of them.
+    std::size_t returned_as_proof = 2;
+};
+
+/// Remembers a server's flows in the store, so that after a loss of power
+/// their callers hear at once that the flows are gone.
+class flow_ledger {
+public:
+    flow_ledger(ledger_settings chosen, support::instant now);
+
+    /// The list to write now, if any; counts it as written.
+    std::optional<peer::flow_list>
+    next_write(support::instant now, std::vector<peer::listed_flow> open,
+               const std::optional<server_report>& server);
+
+    /// What the store remembered when the agent started.
+    void on_recalled(support::instant now, peer::flow_list list);
+
+    /// The server sent a packet on a flow: it holds what is remembered.
+    void on_server_packet(const flow::flow_key& key);
+
+    /// Each returns the flows whose callers must hear that they are gone;
+    /// empty unless it is proved that the server has forgotten them.
+    std::vector<peer::listed_flow> on_returned(support::instant now,
+                                               const flow::flow_key& key);
+    std::vector<peer::listed_flow> on_report(support::instant now,
+                                             const server_report& server);
+    std::vector<peer::listed_flow> on_server_absent(support::instant now);
+
+private:
+    std::vector<peer::listed_flow> take_recalled(support::instant now);
+    bool is_worth_writing(const peer::flow_list& list) const;
+
+    ledger_settings settings;
+    support::instant started;
+    support::instant last_write;
+    std::optional<peer::flow_list> written;
+    std::optional<peer::flow_list> recalled;
+    std::vector<flow::flow_key> returned;
+    /// The server has spoken on a flow of its own before the list was read.
+    std::vector<flow::flow_key> spoken;
+};
+
 } // namespace guavastair::ownership
 
 #endif
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -154,6 +154,33 @@
     std::span<const std::byte> packet;
 };
 
+/// A flow as it is remembered in the store.
+struct listed_flow {
+    flow::flow_key key;
+    /// The caller's last acknowledgement: a reset must be near it.
+    std::uint32_t acknowledged = 0;
+
+    bool operator==(const listed_flow&) const = default;
+};
+
+/// The flows that one start of a server holds.
+struct flow_list {
+    std::int64_t server_born = 0;
+    std::string server_id;
+    std::vector<listed_flow> flows;
+
+    bool operator==(const flow_list&) const = default;
+};
+
+/// Most flows in a flow_list.
+inline constexpr std::size_t max_listed_flows = 4096;
+
+/// Encodes at most max_listed_flows flows.
+std::string encode_flow_list(const flow_list& list);
+
+/// Decodes what encode_flow_list() made. Fails with error_kind::invalid_input.
+absl::StatusOr<flow_list> decode_flow_list(absl::string_view data);
+
 using message = std::variant<ping, pong, carry, owned, absent>;
 
 /// Encodes into `out` and returns the size. Everything that honest senders
--- /dev/null
+++ b/lib/ownership/flow_ledger.cpp
@@ -0,0 +1,134 @@
+#include <guavastair/ownership.hpp>
+
+#include <algorithm>
+
+namespace guavastair::ownership {
+
+static bool contains(const std::vector<peer::listed_flow>& flows,
+                     const flow::flow_key& key) {
+    return std::any_of(flows.begin(), flows.end(),
+                       [&key](const auto& each) { return each.key == key; });
+}
+
+flow_ledger::flow_ledger(ledger_settings chosen, support::instant now)
+    : settings(chosen), started(now), last_write(now) {}
+
+bool flow_ledger::is_worth_writing(const peer::flow_list& list) const {
+    if (!this->written.has_value()) {
+        return !list.flows.empty();
+    }
+    const peer::flow_list& before = *this->written;
+    if (before.server_id != list.server_id ||
+        before.server_born != list.server_born ||
+        before.flows.size() != list.flows.size()) {
+        return true;
+    }
+    for (std::size_t i = 0; i < list.flows.size(); ++i) {
+        const std::uint32_t drift = list.flows[i].acknowledged -
+                                    before.flows[i].acknowledged;
+        if (list.flows[i].key != before.flows[i].key ||
+            drift > this->settings.max_drift) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<peer::flow_list>
+flow_ledger::next_write(support::instant now,
+                        std::vector<peer::listed_flow> open,
+                        const std::optional<server_report>& server) {
+    const bool too_soon =
+        now - this->last_write < this->settings.write_interval;
+    if (too_soon || !server.has_value()) {
+        return std::nullopt;
+    }
+    if (open.size() > peer::max_listed_flows) {
+        open.resize(peer::max_listed_flows);
+    }
+    peer::flow_list list{server->born, server->id, std::move(open)};
+    if (!this->is_worth_writing(list)) {
+        return std::nullopt;
+    }
+    this->last_write = now;
+    this->written = list;
+    return list;
+}
+
+void flow_ledger::on_recalled(support::instant now, peer::flow_list list) {
+    if (now - this->started > this->settings.recall_time) {
+        return;
+    }
+    const bool server_holds_them = std::any_of(
+        this->spoken.begin(), this->spoken.end(),
+        [&list](const auto& key) { return contains(list.flows, key); });
+    this->spoken.clear();
+    if (!server_holds_them) {
+        this->recalled = std::move(list);
+    }
+}
+
+void flow_ledger::on_server_packet(const flow::flow_key& key) {
+    if (this->recalled.has_value()) {
+        if (contains(this->recalled->flows, key)) {
+            this->recalled.reset();
+        }
+        return;
+    }
+    constexpr std::size_t max_spoken = 64;
+    if (!this->written.has_value() && this->spoken.size() < max_spoken) {
+        this->spoken.push_back(key);
+    }
+}
+
+std::vector<peer::listed_flow>
+flow_ledger::take_recalled(support::instant now) {
+    std::vector<peer::listed_flow> flows;
+    const bool in_time =
+        now - this->started <= this->settings.recall_time;
+    if (this->recalled.has_value() && in_time) {
+        flows = std::move(this->recalled->flows);
+    }
+    this->recalled.reset();
+    return flows;
+}
+
+std::vector<peer::listed_flow>
+flow_ledger::on_returned(support::instant now, const flow::flow_key& key) {
+    if (!this->recalled.has_value() ||
+        !contains(this->recalled->flows, key)) {
+        return {};
+    }
+    const bool known = std::find(this->returned.begin(), this->returned.end(),
+                                 key) != this->returned.end();
+    if (!known) {
+        this->returned.push_back(key);
+    }
+    const std::size_t needed = std::min(this->settings.returned_as_proof,
+                                        this->recalled->flows.size());
+    if (this->returned.size() < needed) {
+        return {};
+    }
+    return this->take_recalled(now);
+}
+
+std::vector<peer::listed_flow>
+flow_ledger::on_report(support::instant now, const server_report& server) {
+    if (!this->recalled.has_value()) {
+        return {};
+    }
+    const bool same = this->recalled->server_born == server.born &&
+                      this->recalled->server_id == server.id;
+    if (same) {
+        this->recalled.reset();
+        return {};
+    }
+    return this->take_recalled(now);
+}
+
+std::vector<peer::listed_flow>
+flow_ledger::on_server_absent(support::instant now) {
+    return this->take_recalled(now);
+}
+
+} // namespace guavastair::ownership
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -76,6 +76,7 @@
     std::optional<std::uint32_t> server_first;
     /// The caller's last acknowledgement.
     std::uint32_t acknowledged = 0;
+    support::instant opened;
     support::instant last_used;
     support::instant waiting_since;
     support::endpoint balancer;
@@ -158,6 +159,7 @@
     bool was_passed) {
     flow_record& record = this->flows[packet.key];
     record = {};
+    record.opened = now;
     record.last_used = now;
     record.balancer = balancer;
     record.candidates = std::move(candidates);
@@ -392,6 +394,7 @@
         }
         flow_record& learned = table.flows[packet.key];
         learned.at = accepts ? stage::accepted : stage::open;
+        learned.opened = now;
         learned.last_used = now;
         if (accepts) {
             learned.server_first = packet.sequence;
@@ -421,9 +424,9 @@
     }
 }
 
-std::vector<reset_order> owner_table::on_server_lost(support::instant now) {
+std::vector<peer::listed_flow> owner_table::on_server_lost(support::instant now) {
     implementation& table = *this->self;
-    std::vector<reset_order> orders;
+    std::vector<peer::listed_flow> orders;
     for (const auto& [key, record] : table.flows) {
         const bool finished = record.caller_finished && record.server_finished;
         if (record.at != stage::open || finished) {
@@ -437,6 +440,26 @@
     return orders;
 }
 
+std::vector<peer::listed_flow>
+owner_table::open_flows(support::instant now,
+                        support::duration least_age) const {
+    std::vector<peer::listed_flow> result;
+    for (const auto& [key, record] : this->self->flows) {
+        const bool lasting = record.at == stage::open &&
+                             !record.caller_finished &&
+                             !record.server_finished &&
+                             now - record.opened >= least_age;
+        if (lasting) {
+            result.push_back({key, record.acknowledged});
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto& left, const auto& right) {
+                  return left.key < right.key;
+              });
+    return result;
+}
+
 void owner_table::set_complete() {
     this->self->complete = true;
 }
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -264,4 +264,56 @@
     }
 }
 
+// ----------------------------------------------------------- flow list
+
+std::string encode_flow_list(const flow_list& list) {
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<schema::FlowList>();
+    root.setServerBorn(list.server_born);
+    root.setServerId(list.server_id);
+    const auto size = static_cast<unsigned>(
+        std::min(list.flows.size(), max_listed_flows));
+    auto flows = root.initFlows(size);
+    for (unsigned i = 0; i < size; ++i) {
+        flows[i].setCaller(pack(list.flows[i].key.caller));
+        flows[i].setService(pack(list.flows[i].key.service));
+        flows[i].setAcknowledged(list.flows[i].acknowledged);
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+    const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+static absl::StatusOr<flow_list> read_flow_list(schema::FlowList::Reader from) {
+    if (from.getFlows().size() > max_listed_flows) {
+        return malformed("too many flows");
+    }
+    flow_list list;
+    list.server_born = from.getServerBorn();
+    list.server_id = from.getServerId().cStr();
+    for (const auto each : from.getFlows()) {
+        list.flows.push_back(
+            {{unpack(each.getCaller()), unpack(each.getService())},
+             each.getAcknowledged()});
+    }
+    return list;
+}
+
+absl::StatusOr<flow_list> decode_flow_list(absl::string_view data) {
+    if (data.size() % sizeof(capnp::word) != 0 || data.empty()) {
+        return malformed("not whole words");
+    }
+    std::vector<capnp::word> words(data.size() / sizeof(capnp::word));
+    std::memcpy(words.data(), data.data(), data.size());
+    // Twice what an honest list holds, as lists are counted when read again.
+    const capnp::ReaderOptions limits{8 * max_listed_flows, max_depth};
+    try {
+        capnp::FlatArrayMessageReader reader(
+            kj::arrayPtr(words.data(), words.size()), limits);
+        return read_flow_list(reader.getRoot<schema::FlowList>());
+    } catch (const kj::Exception& error) {
+        return malformed(error.getDescription().cStr());
+    }
+}
+
 } // namespace guavastair::peer
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -62,6 +62,18 @@
   certain @4 :Bool;
 }
 
+struct ListedFlow {
+  caller @0 :UInt64;
+  service @1 :UInt64;
+  acknowledged @2 :UInt32;
+}
+
+struct FlowList {
+  serverBorn @0 :Int64;
+  serverId @1 :Text;
+  flows @2 :List(ListedFlow);
+}
+
 struct Message {
   union {
     ping @0 :Ping;
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(d9b3bb0c94dcfa32);
 CAPNP_DECLARE_SCHEMA(eba18b96c0ad3710);
 CAPNP_DECLARE_SCHEMA(b24ea667d955767b);
+CAPNP_DECLARE_SCHEMA(e8d4e4be516b7af0);
+CAPNP_DECLARE_SCHEMA(dfad58040dfac790);
 CAPNP_DECLARE_SCHEMA(e84a1585c1d8e690);
 
 }  // namespace schemas
@@ -153,6 +155,36 @@
   };
 };
 
+struct ListedFlow {
+  ListedFlow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8d4e4be516b7af0, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FlowList {
+  FlowList() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfad58040dfac790, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -988,6 +1020,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class ListedFlow::Reader {
+public:
+  typedef ListedFlow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCaller() const;
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint32_t getAcknowledged() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ListedFlow::Builder {
+public:
+  typedef ListedFlow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCaller();
+  inline void setCaller( ::uint64_t value);
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint32_t getAcknowledged();
+  inline void setAcknowledged( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ListedFlow::Pipeline {
+public:
+  typedef ListedFlow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FlowList::Reader {
+public:
+  typedef FlowList Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getServerBorn() const;
+
+  inline bool hasServerId() const;
+  inline  ::capnp::Text::Reader getServerId() const;
+
+  inline bool hasFlows() const;
+  inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FlowList::Builder {
+public:
+  typedef FlowList Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getServerBorn();
+  inline void setServerBorn( ::int64_t value);
+
+  inline bool hasServerId();
+  inline  ::capnp::Text::Builder getServerId();
+  inline void setServerId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServerId(unsigned int size);
+  inline void adoptServerId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServerId();
+
+  inline bool hasFlows();
+  inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Builder getFlows();
+  inline void setFlows( ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
+  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>> disownFlows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FlowList::Pipeline {
+public:
+  typedef FlowList Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -1890,6 +2104,130 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ListedFlow::Reader::getCaller() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ListedFlow::Builder::getCaller() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ListedFlow::Builder::setCaller( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ListedFlow::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ListedFlow::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ListedFlow::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ListedFlow::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ListedFlow::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ListedFlow::Builder::setAcknowledged( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FlowList::Reader::getServerBorn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FlowList::Builder::getServerBorn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FlowList::Builder::setServerBorn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FlowList::Reader::hasServerId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowList::Builder::hasServerId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FlowList::Reader::getServerId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FlowList::Builder::getServerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FlowList::Builder::setServerId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FlowList::Builder::initServerId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FlowList::Builder::adoptServerId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FlowList::Builder::disownServerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FlowList::Reader::hasFlows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowList::Builder::hasFlows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Reader FlowList::Reader::getFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Builder FlowList::Builder::getFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FlowList::Builder::setFlows( ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>::Builder FlowList::Builder::initFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FlowList::Builder::adoptFlows(
+    ::capnp::Orphan< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>> FlowList::Builder::disownFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavastair::peer::schema::ListedFlow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::guavastair::peer::schema::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -35,6 +35,14 @@
 /// after this: all balancers know it by their peers.
 constexpr support::duration introduction_time = support::seconds(8);
 
+/// For so long after its start an agent asks the store which flows its server
+/// held, and how often.
+constexpr support::duration recall_time = support::seconds(5);
+constexpr support::duration recall_pause = support::milliseconds(200);
+
+/// Flows that are younger are not remembered in the store.
+constexpr support::duration least_remembered_age = support::milliseconds(1000);
+
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
 
@@ -62,6 +70,12 @@
     return result;
 }
 
+registry::registrar_settings ledger_settings(const platform::settings& settings) {
+    registry::registrar_settings result;
+    result.key = platform::flows_key(settings.peers);
+    return result;
+}
+
 /// One agent.
 class agent {
 public:
@@ -71,6 +85,10 @@
           registrar(shell, registrar_settings(shell.settings)),
           monitor(monitor_settings(shell.settings), shell.now()),
           owner(owner_settings(shell.settings), shell.now()),
+          ledger({}, shell.now()),
+          ledger_writer(shell, ledger_settings(shell.settings)),
+          ledger_reader(shell.loop, {.store = shell.settings.store},
+                        shell.store_calls),
           readiness(
               shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
@@ -118,6 +136,10 @@
     void start_probe();
     void on_probe(http::connect_probe::answer found);
     void drop_flows();
+    void reset_flows(const std::vector<peer::listed_flow>& flows,
+                     absl::string_view cause);
+    void recall_flows();
+    void remember_flows();
     void introduce();
     void on_view_changed();
     void note_condition(absl::string_view cause);
@@ -130,6 +152,9 @@
     registrar_driver registrar;
     ownership::server_monitor monitor;
     ownership::owner_table owner;
+    ownership::flow_ledger ledger;
+    registrar_driver ledger_writer;
+    platform::store_client ledger_reader;
     ownership::opening_budget budget;
     http::server readiness;
     http::server control;
@@ -366,6 +391,7 @@
     this->monitor.on_server_packet(now);
     if (!packet->returned) {
         this->owner.on_server_packet(now, packet->head);
+        this->ledger.on_server_packet(packet->head.key);
         const support::endpoint caller{packet->head.key.caller.address,
                                        this->shell.settings.packets.port};
         this->outbound->queue(caller, {}, bytes);
@@ -377,6 +403,8 @@
     platform::restore_packet(whole);
     const ownership::action decided =
         this->owner.on_returned(now, packet->head);
+    this->reset_flows(this->ledger.on_returned(now, packet->head.key),
+                      "returned_by_server");
     this->log_action(decided, packet->head, nullptr);
     this->carry_out(decided, packet->head, whole);
 }
@@ -527,16 +555,59 @@
     }
 }
 
-void agent::drop_flows() {
-    const auto orders = this->owner.on_server_lost(this->shell.now());
-    if (orders.empty()) {
+void agent::reset_flows(const std::vector<peer::listed_flow>& flows,
+                        absl::string_view cause) {
+    if (flows.empty()) {
         return;
     }
     logging::line line("flows_lost");
-    line.add("count", orders.size());
+    line.add("count", flows.size()).add("cause", cause);
     this->shell.log(logging::level::warn, "flows_lost", line);
-    for (const ownership::reset_order& each : orders) {
-        this->reset(each.key, each.sequence);
+    for (const peer::listed_flow& each : flows) {
+        this->reset(each.key, each.acknowledged);
+    }
+}
+
+void agent::drop_flows() {
+    this->reset_flows(this->owner.on_server_lost(this->shell.now()),
+                      "server_lost");
+}
+
+/// Reads which flows the server held before this process started.
+void agent::recall_flows() {
+    const std::string key = platform::flows_key(this->shell.settings.peers);
+    this->ledger_reader.list(
+        key, "", [this, key](const absl::StatusOr<registry::page>& got) {
+            if (!got.ok()) {
+                if (this->shell.now() - this->started < recall_time) {
+                    this->shell.loop.call_after(
+                        recall_pause, [this] { this->recall_flows(); });
+                }
+                return;
+            }
+            for (const registry::entry& each : got->entries) {
+                auto list = peer::decode_flow_list(each.value);
+                if (each.key != key || !list.ok()) {
+                    continue;
+                }
+                logging::line line("flows_recalled");
+                line.add("count", list->flows.size())
+                    .add("server", list->server_id)
+                    .add("born", list->server_born)
+                    .add("revision", each.modified.value);
+                this->shell.log(logging::level::info, "flows_recalled", line);
+                this->ledger.on_recalled(this->shell.now(), *std::move(list));
+            }
+        });
+}
+
+void agent::remember_flows() {
+    const support::instant now = this->shell.now();
+    const auto list = this->ledger.next_write(
+        now, this->owner.open_flows(now, least_remembered_age),
+        this->monitor.last_report());
+    if (list.has_value()) {
+        this->ledger_writer.set_wanted(peer::encode_flow_list(*list));
     }
 }
 
@@ -556,6 +627,8 @@
     const support::instant now = this->shell.now();
     const ownership::report_effect effect =
         this->monitor.on_report(now, call.report);
+    this->reset_flows(this->ledger.on_report(now, call.report),
+                      "server_restarted");
     if (effect == ownership::report_effect::restarted) {
         this->drop_flows();
         this->owner.set_complete();
@@ -611,6 +684,8 @@
         if (before_first) {
             // The server is not up yet: nothing opened there before.
             this->owner.set_complete();
+            this->reset_flows(this->ledger.on_server_absent(now),
+                              "server_not_up");
         }
         break;
     case http::connect_probe::answer::silent:
@@ -637,6 +712,7 @@
     const support::instant now = this->shell.now();
     this->owner.tick(now);
     this->start_probe();
+    this->remember_flows();
     std::erase_if(this->balancers, [now](const auto& entry) {
         return now - entry.second > balancer_lifetime;
     });
@@ -673,6 +749,7 @@
     if (server_left) {
         this->drop_flows();
         this->publish();
+        this->ledger_writer.set_wanted(std::nullopt);
         this->shell.loop.call_after(leave_time, [this] { this->leave(); });
         return;
     }
@@ -728,6 +805,7 @@
         return opened;
     }
     this->publish();
+    this->recall_flows();
     this->start_probe();
     this->introduce();
     this->shell.watch_for_gaps([this](support::duration) {
