--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -147,6 +147,43 @@
     int silent_probes = 0;
 };
 
+// ------------------------------------------------------- load limits
+
+/// How urgent an opening is among those of its service.
+enum class urgency : std::uint8_t { highest, lower };
+
+/// What a server's work in progress means for another opening.
+enum class load_verdict : std::uint8_t {
+    /// A slot is free or soon will be.
+    take,
+    /// Another server would answer sooner.
+    prefer_other,
+    /// The server's queue is full, but has only just filled up: a place is
+    /// likely when the caller sends its opening packet again.
+    full_for_now,
+    /// The server has been full for a while.
+    full,
+};
+
+struct load_limits {
+    /// Requests in progress for each slot from which on another server is
+    /// asked first.
+    double busy = 2.0;
+    /// Requests in progress for each slot from which on no more openings of
+    /// lower urgency are taken: the rest of the queue is for the others.
+    double full_for_lower = 4.0;
+    /// As full_for_lower for the most urgent openings; above what a server
+    /// queues, which may know better.
+    double full = 8.0;
+    /// Mean requests in progress for each slot above which the server counts
+    /// as full for a while.
+    double lasting = 2.5;
+};
+
+/// Judges a server's load for an opening.
+load_verdict judge_load(const load_limits& limits,
+                        const peer::load_report& load, urgency how_urgent);
+
 // --------------------------------------------------------- owner table
 
 enum class gate_answer : std::uint8_t {
@@ -172,17 +209,20 @@
     gone,
     cold,
     busy,
+    full_for_now,
     full,
 };
 
 /// Number of values in gate_reason.
-inline constexpr std::size_t gate_reason_count = 14;
+inline constexpr std::size_t gate_reason_count = 15;
 
 absl::string_view to_string(gate_reason reason);
 
 struct gate_state {
     gate_answer answer = gate_answer::refuse;
     gate_reason reason = gate_reason::open;
+    /// Time after which nobody waits for an answer on the flow's route.
+    support::duration request_timeout = support::seconds(2);
 };
 
 enum class action_kind : std::uint8_t {
@@ -247,8 +287,11 @@
     support::duration ended_timeout = support::seconds(4);
     /// No flow is older, so an agent this old knows all of its server's.
     support::duration longest_flow = support::seconds(60);
-    /// A request without an answer counts as in progress at most so long.
-    support::duration longest_request = support::seconds(10);
+    /// A new flow counts as a request in progress for so long, although the
+    /// request has not come yet.
+    support::duration first_request = support::milliseconds(300);
+    /// As gate_state::request_timeout, for flows whose opening was not seen.
+    support::duration request_timeout = support::seconds(2);
 };
 
 /// The flows that the server holds, as far as this agent has seen.
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -23,7 +23,7 @@
     "open",       "no_configuration", "unconfirmed",    "unregistered",
     "no_route",   "foreign_service",  "withdrawn",      "server_unknown",
     "draining",   "silent",           "gone",           "cold",
-    "busy",       "full"};
+    "busy",       "full_for_now",     "full"};
 
 static constexpr std::array<absl::string_view, 5> action_names{
     "deliver", "pass_on", "answer_absent", "reset", "drop"};
@@ -72,6 +72,8 @@
     bool server_finished = false;
     /// A request has no answer yet.
     bool waiting = false;
+    /// It is counted as waiting because its first request is on its way.
+    bool expects_request = false;
     /// The server's first sequence number, once known.
     std::optional<std::uint32_t> server_first;
     /// The caller's last acknowledgement.
@@ -79,6 +81,7 @@
     support::instant opened;
     support::instant last_used;
     support::instant waiting_since;
+    support::duration request_timeout;
     support::endpoint balancer;
     /// For openings: agents to try if the server turns the flow down.
     std::vector<support::endpoint> candidates;
@@ -163,6 +166,10 @@
     record.last_used = now;
     record.balancer = balancer;
     record.candidates = std::move(candidates);
+    record.waiting = true;
+    record.waiting_since = now;
+    record.expects_request = true;
+    ++this->waiting;
     this->not_here.erase(to_key(packet.key));
     action result;
     result.kind = action_kind::deliver;
@@ -182,7 +189,11 @@
 void owner_table::implementation::note_request(support::instant now,
                                                flow_record& record,
                                                const flow::packet& packet) {
-    if (packet.payload_size == 0 || record.waiting) {
+    if (packet.payload_size == 0) {
+        return;
+    }
+    record.expects_request = false;
+    if (record.waiting) {
         return;
     }
     record.waiting = true;
@@ -280,7 +291,11 @@
     const bool declined =
         gate.answer == gate_answer::refuse ||
         (gate.answer == gate_answer::prefer_other && others_exist);
-    if (declined && !others_exist && is_starting(gate.reason)) {
+    const bool is_first_copy = packet.acknowledgement == 0;
+    const bool passes_soon =
+        is_starting(gate.reason) ||
+        (is_first_copy && gate.reason == gate_reason::full_for_now);
+    if (declined && !others_exist && passes_soon) {
         // The caller sends its opening packet again soon.
         action result;
         result.why = basis::starting;
@@ -295,8 +310,10 @@
         return this->self->pass_on(std::move(candidates), balancer,
                                    basis::table_full);
     }
-    return this->self->open(now, packet, balancer, std::move(candidates),
-                            was_passed);
+    const action result = this->self->open(
+        now, packet, balancer, std::move(candidates), was_passed);
+    this->self->flows[packet.key].request_timeout = gate.request_timeout;
+    return result;
 }
 
 action owner_table::on_packet(support::instant now, const flow::packet& packet,
@@ -395,6 +412,7 @@
         flow_record& learned = table.flows[packet.key];
         learned.at = accepts ? stage::accepted : stage::open;
         learned.opened = now;
+        learned.request_timeout = table.settings.request_timeout;
         learned.last_used = now;
         if (accepts) {
             learned.server_first = packet.sequence;
@@ -474,9 +492,11 @@
     for (auto each = table.flows.begin(); each != table.flows.end();) {
         const auto current = each++;
         flow_record& record = current->second;
+        const support::duration longest =
+            record.expects_request ? table.settings.first_request
+                                   : record.request_timeout;
         const bool too_long =
-            record.waiting &&
-            now - record.waiting_since > table.settings.longest_request;
+            record.waiting && now - record.waiting_since > longest;
         if (too_long) {
             table.end_request(record);
         }
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -128,7 +128,9 @@
     /// does not would take a flow opened here for lost.
     bool is_known() const;
     ownership::gate_state gate(support::endpoint service_address);
-    ownership::gate_state server_gate();
+    ownership::gate_state server_gate(ownership::urgency how_urgent);
+    ownership::urgency urgency_of(const routing::route& wanted) const;
+    peer::load_report load() const;
     peer::agent_report report();
     void publish();
     void note_listing(peer::listing listed);
@@ -190,7 +192,7 @@
                                             this->shell.settings.cold_slack);
 }
 
-ownership::gate_state agent::server_gate() {
+ownership::gate_state agent::server_gate(ownership::urgency how_urgent) {
     using ownership::gate_answer;
     using ownership::gate_reason;
     const auto refuse = [](gate_reason why) {
@@ -213,13 +215,39 @@
     if (cold && this->budget.left(now, this->cold_limit()) == 0) {
         return refuse(gate_reason::cold);
     }
-    const peer::load_report load = this->owner.load();
-    if (load.in_progress > 2 * this->monitor.slots()) {
+    switch (ownership::judge_load({}, this->load(), how_urgent)) {
+    case ownership::load_verdict::full:
+        return refuse(gate_reason::full);
+    case ownership::load_verdict::full_for_now:
+        return refuse(gate_reason::full_for_now);
+    case ownership::load_verdict::prefer_other:
         return {gate_answer::prefer_other, gate_reason::busy};
+    case ownership::load_verdict::take:
+        break;
     }
     return {gate_answer::take, gate_reason::open};
 }
 
+peer::load_report agent::load() const {
+    peer::load_report result = this->owner.load();
+    result.slots = this->monitor.slots();
+    return result;
+}
+
+/// Compares a route with the others that lead to this service.
+ownership::urgency agent::urgency_of(const routing::route& wanted) const {
+    const routing::routing_state& rules = this->view.rules();
+    for (const routing::route& each : rules.view().config.routes) {
+        const bool outranks =
+            each.priority < wanted.priority &&
+            rules.leads_to(each.address, this->shell.settings.service);
+        if (outranks) {
+            return ownership::urgency::lower;
+        }
+    }
+    return ownership::urgency::highest;
+}
+
 ownership::gate_state agent::gate(support::endpoint service_address) {
     using ownership::gate_answer;
     using ownership::gate_reason;
@@ -236,7 +264,8 @@
     if (!this->is_known()) {
         return refuse(gate_reason::unregistered);
     }
-    if (rules.find_route(service_address) == nullptr) {
+    const routing::route* target = rules.find_route(service_address);
+    if (target == nullptr) {
         return refuse(gate_reason::no_route);
     }
     if (!rules.leads_to(service_address, this->shell.settings.service)) {
@@ -245,7 +274,10 @@
     if (rules.is_withdrawn(this->shell.settings.data_centre)) {
         return refuse(gate_reason::withdrawn);
     }
-    return this->server_gate();
+    ownership::gate_state result =
+        this->server_gate(this->urgency_of(*target));
+    result.request_timeout = target->timeout;
+    return result;
 }
 
 bool agent::is_known() const {
@@ -478,7 +510,8 @@
     result.service = this->shell.settings.service;
     result.data_centre = this->shell.settings.data_centre;
     result.condition = this->monitor.condition();
-    const ownership::gate_state state = this->server_gate();
+    const ownership::gate_state state =
+        this->server_gate(ownership::urgency::highest);
     result.takes_openings =
         state.answer != ownership::gate_answer::refuse &&
         this->view.is_confirmed() && this->is_known() &&
@@ -486,8 +519,7 @@
     if (this->monitor.is_cold(now)) {
         result.opening_budget = this->budget.left(now, this->cold_limit());
     }
-    result.load = this->owner.load();
-    result.load.slots = this->monitor.slots();
+    result.load = this->load();
     result.run = this->run_id;
     result.restarting = this->restarting;
     return result;
