--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -234,8 +234,12 @@
     return result;
 }
 
-/// Compares a route with the others that lead to this service.
+/// Requests that may not be repeated come first; of the others those whose
+/// route no other route to this service outranks.
 ownership::urgency agent::urgency_of(const routing::route& wanted) const {
+    if (wanted.kind == routing::request_kind::non_idempotent) {
+        return ownership::urgency::highest;
+    }
     const routing::routing_state& rules = this->view.rules();
     for (const routing::route& each : rules.view().config.routes) {
         const bool outranks =
