--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -31,7 +31,8 @@
 class opening_budget {
 public:
     /// Openings that `rate` a second, times `factor`, plus `slack` allow in
-    /// one second, less one for the way to the server.
+    /// one second, less one for the way to the server. A rate of 0 is no limit:
+    /// the largest value.
     static std::uint32_t limit(double rate, double factor, double slack);
 
     /// How many more may open at `now` if at most `allowed` open in a second.
@@ -225,6 +226,30 @@
     support::duration request_timeout = support::seconds(2);
 };
 
+/// Everything that decides whether an opening is taken.
+struct gate_inputs {
+    bool has_configuration = false;
+    /// The configuration was found complete since the process stood still.
+    bool is_view_confirmed = false;
+    /// Balancers know this agent, or have had time to.
+    bool is_known = false;
+    bool has_route = false;
+    /// The route leads to the server's service.
+    bool leads_here = false;
+    /// The data centre is withdrawn.
+    bool is_withdrawn = false;
+    peer::server_condition condition = peer::server_condition::unknown;
+    /// What opening_budget::left() says; the largest value for a warm server.
+    std::uint32_t openings_left = UINT32_MAX;
+    peer::load_report load;
+    urgency how_urgent = urgency::highest;
+    support::duration request_timeout = support::seconds(2);
+};
+
+/// The agent's decision about an opening, whatever the view of the balancer
+/// that sent it.
+gate_state judge_opening(const gate_inputs& inputs);
+
 enum class action_kind : std::uint8_t {
     /// Hand the packet to the server.
     deliver,
@@ -329,8 +354,8 @@
 
     /// The open flows that have lasted for `least_age`, in the order of their
     /// keys.
-    std::vector<peer::listed_flow> open_flows(support::instant now,
-                                              support::duration least_age) const;
+    std::vector<peer::listed_flow>
+    open_flows(support::instant now, support::duration least_age) const;
 
     /// Forgets what has expired. Call it several times a second: it also
     /// averages the work in progress.
--- a/lib/ownership/flow_ledger.cpp
+++ b/lib/ownership/flow_ledger.cpp
@@ -24,8 +24,8 @@
         return true;
     }
     for (std::size_t i = 0; i < list.flows.size(); ++i) {
-        const std::uint32_t drift = list.flows[i].acknowledged -
-                                    before.flows[i].acknowledged;
+        const std::uint32_t drift =
+            list.flows[i].acknowledged - before.flows[i].acknowledged;
         if (list.flows[i].key != before.flows[i].key ||
             drift > this->settings.max_drift) {
             return true;
@@ -84,8 +84,7 @@
 std::vector<peer::listed_flow>
 flow_ledger::take_recalled(support::instant now) {
     std::vector<peer::listed_flow> flows;
-    const bool in_time =
-        now - this->started <= this->settings.recall_time;
+    const bool in_time = now - this->started <= this->settings.recall_time;
     if (this->recalled.has_value() && in_time) {
         flows = std::move(this->recalled->flows);
     }
@@ -95,8 +94,7 @@
 
 std::vector<peer::listed_flow>
 flow_ledger::on_returned(support::instant now, const flow::flow_key& key) {
-    if (!this->recalled.has_value() ||
-        !contains(this->recalled->flows, key)) {
+    if (!this->recalled.has_value() || !contains(this->recalled->flows, key)) {
         return {};
     }
     const bool known = std::find(this->returned.begin(), this->returned.end(),
--- /dev/null
+++ b/lib/ownership/gate.cpp
@@ -0,0 +1,79 @@
+#include <guavastair/ownership.hpp>
+
+#include <optional>
+
+namespace guavastair::ownership {
+
+/// Why the server takes no opening whatever its load, if so.
+static std::optional<gate_reason>
+refusal_by_condition(peer::server_condition condition) {
+    switch (condition) {
+    case peer::server_condition::unknown:
+        return gate_reason::server_unknown;
+    case peer::server_condition::draining:
+        return gate_reason::draining;
+    case peer::server_condition::silent:
+        return gate_reason::silent;
+    case peer::server_condition::gone:
+        return gate_reason::gone;
+    case peer::server_condition::ready:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Why no opening may be taken here at all, if so.
+static std::optional<gate_reason> refusal_by_rule(const gate_inputs& inputs) {
+    if (!inputs.has_configuration) {
+        return gate_reason::no_configuration;
+    }
+    if (!inputs.is_view_confirmed) {
+        return gate_reason::unconfirmed;
+    }
+    if (!inputs.is_known) {
+        return gate_reason::unregistered;
+    }
+    if (!inputs.has_route) {
+        return gate_reason::no_route;
+    }
+    if (!inputs.leads_here) {
+        return gate_reason::foreign_service;
+    }
+    if (inputs.is_withdrawn) {
+        return gate_reason::withdrawn;
+    }
+    if (const auto why = refusal_by_condition(inputs.condition)) {
+        return why;
+    }
+    if (inputs.openings_left == 0) {
+        return gate_reason::cold;
+    }
+    return std::nullopt;
+}
+
+gate_state judge_opening(const gate_inputs& inputs) {
+    gate_state result;
+    result.request_timeout = inputs.request_timeout;
+    if (const auto why = refusal_by_rule(inputs)) {
+        result.reason = *why;
+        return result;
+    }
+    switch (judge_load({}, inputs.load, inputs.how_urgent)) {
+    case load_verdict::full:
+        result.reason = gate_reason::full;
+        return result;
+    case load_verdict::full_for_now:
+        result.reason = gate_reason::full_for_now;
+        return result;
+    case load_verdict::prefer_other:
+        result.answer = gate_answer::prefer_other;
+        result.reason = gate_reason::busy;
+        return result;
+    case load_verdict::take:
+        break;
+    }
+    result.answer = gate_answer::take;
+    return result;
+}
+
+} // namespace guavastair::ownership
--- a/lib/ownership/load_limits.cpp
+++ b/lib/ownership/load_limits.cpp
@@ -10,8 +10,8 @@
     const double slots = std::max<std::uint32_t>(load.slots, 1);
     const double present = load.in_progress / slots;
     const double mean = load.mean_in_progress / thousandths / slots;
-    const double full = how_urgent == urgency::highest ? limits.full
-                                                       : limits.full_for_lower;
+    const double full =
+        how_urgent == urgency::highest ? limits.full : limits.full_for_lower;
     if (present >= full) {
         return mean >= limits.lasting ? load_verdict::full
                                       : load_verdict::full_for_now;
--- a/lib/ownership/opening_budget.cpp
+++ b/lib/ownership/opening_budget.cpp
@@ -10,6 +10,9 @@
 static constexpr support::duration window = support::milliseconds(1050);
 
 std::uint32_t opening_budget::limit(double rate, double factor, double slack) {
+    if (rate <= 0.0) {
+        return UINT32_MAX;
+    }
     const double allowed = std::floor(rate * factor + slack) - 1.0;
     return static_cast<std::uint32_t>(std::max(allowed, 1.0));
 }
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -20,18 +20,18 @@
 static constexpr std::uint32_t max_first_acknowledgement = 1U << 20;
 
 static constexpr std::array<absl::string_view, gate_reason_count> reason_names{
-    "open",       "no_configuration", "unconfirmed",    "unregistered",
-    "no_route",   "foreign_service",  "withdrawn",      "server_unknown",
-    "draining",   "silent",           "gone",           "cold",
-    "busy",       "full_for_now",     "full"};
+    "open",     "no_configuration", "unconfirmed", "unregistered",
+    "no_route", "foreign_service",  "withdrawn",   "server_unknown",
+    "draining", "silent",           "gone",        "cold",
+    "busy",     "full_for_now",     "full"};
 
 static constexpr std::array<absl::string_view, 5> action_names{
     "deliver", "pass_on", "answer_absent", "reset", "drop"};
 
 static constexpr std::array<absl::string_view, 11> basis_names{
-    "owned",     "opened",           "repeated_opening",
-    "passed",    "turned_away",      "asked_server",
-    "not_here",  "lost_with_server", "returned_by_server",
+    "owned",      "opened",           "repeated_opening",
+    "passed",     "turned_away",      "asked_server",
+    "not_here",   "lost_with_server", "returned_by_server",
     "table_full", "starting"};
 
 absl::string_view to_string(gate_reason reason) {
@@ -310,8 +310,8 @@
         return this->self->pass_on(std::move(candidates), balancer,
                                    basis::table_full);
     }
-    const action result = this->self->open(
-        now, packet, balancer, std::move(candidates), was_passed);
+    const action result = this->self->open(now, packet, balancer,
+                                           std::move(candidates), was_passed);
     this->self->flows[packet.key].request_timeout = gate.request_timeout;
     return result;
 }
@@ -442,7 +442,8 @@
     }
 }
 
-std::vector<peer::listed_flow> owner_table::on_server_lost(support::instant now) {
+std::vector<peer::listed_flow>
+owner_table::on_server_lost(support::instant now) {
     implementation& table = *this->self;
     std::vector<peer::listed_flow> orders;
     for (const auto& [key, record] : table.flows) {
@@ -463,10 +464,9 @@
                         support::duration least_age) const {
     std::vector<peer::listed_flow> result;
     for (const auto& [key, record] : this->self->flows) {
-        const bool lasting = record.at == stage::open &&
-                             !record.caller_finished &&
-                             !record.server_finished &&
-                             now - record.opened >= least_age;
+        const bool lasting =
+            record.at == stage::open && !record.caller_finished &&
+            !record.server_finished && now - record.opened >= least_age;
         if (lasting) {
             result.push_back({key, record.acknowledged});
         }
@@ -492,9 +492,9 @@
     for (auto each = table.flows.begin(); each != table.flows.end();) {
         const auto current = each++;
         flow_record& record = current->second;
-        const support::duration longest =
-            record.expects_request ? table.settings.first_request
-                                   : record.request_timeout;
+        const support::duration longest = record.expects_request
+                                              ? table.settings.first_request
+                                              : record.request_timeout;
         const bool too_long =
             record.waiting && now - record.waiting_since > longest;
         if (too_long) {
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -271,8 +271,8 @@
     auto root = builder.initRoot<schema::FlowList>();
     root.setServerBorn(list.server_born);
     root.setServerId(list.server_id);
-    const auto size = static_cast<unsigned>(
-        std::min(list.flows.size(), max_listed_flows));
+    const auto size =
+        static_cast<unsigned>(std::min(list.flows.size(), max_listed_flows));
     auto flows = root.initFlows(size);
     for (unsigned i = 0; i < size; ++i) {
         flows[i].setCaller(pack(list.flows[i].key.caller));
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -46,9 +46,6 @@
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
 
-/// Openings a second that a cold server bears when its service names no rate.
-constexpr double default_cold_rate = 0.0;
-
 ownership::owner_settings owner_settings(const platform::settings& settings) {
     ownership::owner_settings result;
     result.longest_flow = settings.longest_flow;
@@ -70,7 +67,8 @@
     return result;
 }
 
-registry::registrar_settings ledger_settings(const platform::settings& settings) {
+registry::registrar_settings
+ledger_settings(const platform::settings& settings) {
     registry::registrar_settings result;
     result.key = platform::flows_key(settings.peers);
     return result;
@@ -128,7 +126,7 @@
     /// does not would take a flow opened here for lost.
     bool is_known() const;
     ownership::gate_state gate(support::endpoint service_address);
-    ownership::gate_state server_gate(ownership::urgency how_urgent);
+    ownership::gate_inputs gate_inputs();
     ownership::urgency urgency_of(const routing::route& wanted) const;
     peer::load_report load() const;
     peer::agent_report report();
@@ -180,52 +178,45 @@
 // ---------------------------------------------------------------- gates
 
 std::uint32_t agent::cold_limit() const {
+    const platform::settings& settings = this->shell.settings;
     const routing::service_terms* terms =
-        this->view.rules().find_service(this->shell.settings.service);
-    const double rate =
-        terms != nullptr ? terms->warm_up_rate : default_cold_rate;
-    if (terms != nullptr && rate <= 0.0) {
-        return UINT32_MAX;
-    }
-    return ownership::opening_budget::limit(rate,
-                                            this->shell.settings.cold_factor,
-                                            this->shell.settings.cold_slack);
-}
-
-ownership::gate_state agent::server_gate(ownership::urgency how_urgent) {
-    using ownership::gate_answer;
-    using ownership::gate_reason;
-    const auto refuse = [](gate_reason why) {
-        return ownership::gate_state{gate_answer::refuse, why};
-    };
-    switch (this->monitor.condition()) {
-    case peer::server_condition::unknown:
-        return refuse(gate_reason::server_unknown);
-    case peer::server_condition::draining:
-        return refuse(gate_reason::draining);
-    case peer::server_condition::silent:
-        return refuse(gate_reason::silent);
-    case peer::server_condition::gone:
-        return refuse(gate_reason::gone);
-    case peer::server_condition::ready:
-        break;
-    }
+        this->view.rules().find_service(settings.service);
+    return ownership::opening_budget::limit(
+        terms == nullptr ? 0.0 : terms->warm_up_rate, settings.cold_factor,
+        settings.cold_slack);
+}
+
+/// What decides about an opening on any route to this service.
+ownership::gate_inputs agent::gate_inputs() {
+    const routing::routing_state& rules = this->view.rules();
     const support::instant now = this->shell.now();
-    const bool cold = this->monitor.is_cold(now);
-    if (cold && this->budget.left(now, this->cold_limit()) == 0) {
-        return refuse(gate_reason::cold);
-    }
-    switch (ownership::judge_load({}, this->load(), how_urgent)) {
-    case ownership::load_verdict::full:
-        return refuse(gate_reason::full);
-    case ownership::load_verdict::full_for_now:
-        return refuse(gate_reason::full_for_now);
-    case ownership::load_verdict::prefer_other:
-        return {gate_answer::prefer_other, gate_reason::busy};
-    case ownership::load_verdict::take:
-        break;
+    ownership::gate_inputs inputs;
+    inputs.has_configuration = rules.has_configuration();
+    inputs.is_view_confirmed = this->view.is_confirmed();
+    inputs.is_known = this->is_known();
+    inputs.has_route = true;
+    inputs.leads_here = true;
+    inputs.is_withdrawn = rules.is_withdrawn(this->shell.settings.data_centre);
+    inputs.condition = this->monitor.condition();
+    if (this->monitor.is_cold(now)) {
+        inputs.openings_left = this->budget.left(now, this->cold_limit());
+    }
+    inputs.load = this->load();
+    return inputs;
+}
+
+ownership::gate_state agent::gate(support::endpoint service_address) {
+    const routing::routing_state& rules = this->view.rules();
+    const routing::route* target = rules.find_route(service_address);
+    ownership::gate_inputs inputs = this->gate_inputs();
+    inputs.has_route = target != nullptr;
+    inputs.leads_here =
+        rules.leads_to(service_address, this->shell.settings.service);
+    if (target != nullptr) {
+        inputs.how_urgent = this->urgency_of(*target);
+        inputs.request_timeout = target->timeout;
     }
-    return {gate_answer::take, gate_reason::open};
+    return ownership::judge_opening(inputs);
 }
 
 peer::load_report agent::load() const {
@@ -252,38 +243,6 @@
     return ownership::urgency::highest;
 }
 
-ownership::gate_state agent::gate(support::endpoint service_address) {
-    using ownership::gate_answer;
-    using ownership::gate_reason;
-    const routing::routing_state& rules = this->view.rules();
-    const auto refuse = [](gate_reason why) {
-        return ownership::gate_state{gate_answer::refuse, why};
-    };
-    if (!rules.has_configuration()) {
-        return refuse(gate_reason::no_configuration);
-    }
-    if (!this->view.is_confirmed()) {
-        return refuse(gate_reason::unconfirmed);
-    }
-    if (!this->is_known()) {
-        return refuse(gate_reason::unregistered);
-    }
-    const routing::route* target = rules.find_route(service_address);
-    if (target == nullptr) {
-        return refuse(gate_reason::no_route);
-    }
-    if (!rules.leads_to(service_address, this->shell.settings.service)) {
-        return refuse(gate_reason::foreign_service);
-    }
-    if (rules.is_withdrawn(this->shell.settings.data_centre)) {
-        return refuse(gate_reason::withdrawn);
-    }
-    ownership::gate_state result =
-        this->server_gate(this->urgency_of(*target));
-    result.request_timeout = target->timeout;
-    return result;
-}
-
 bool agent::is_known() const {
     return this->is_listed || this->registrar.is_settled() ||
            this->shell.now() - this->started > introduction_time;
@@ -508,22 +467,16 @@
 void agent::on_body(support::endpoint /*from*/, const peer::absent& /*body*/) {}
 
 peer::agent_report agent::report() {
-    const support::instant now = this->shell.now();
     peer::agent_report result;
     result.agent = this->shell.settings.peers;
     result.service = this->shell.settings.service;
     result.data_centre = this->shell.settings.data_centre;
     result.condition = this->monitor.condition();
-    const ownership::gate_state state =
-        this->server_gate(ownership::urgency::highest);
-    result.takes_openings =
-        state.answer != ownership::gate_answer::refuse &&
-        this->view.is_confirmed() && this->is_known() &&
-        !this->view.rules().is_withdrawn(this->shell.settings.data_centre);
-    if (this->monitor.is_cold(now)) {
-        result.opening_budget = this->budget.left(now, this->cold_limit());
-    }
-    result.load = this->load();
+    const ownership::gate_inputs inputs = this->gate_inputs();
+    result.takes_openings = ownership::judge_opening(inputs).answer !=
+                            ownership::gate_answer::refuse;
+    result.opening_budget = inputs.openings_left;
+    result.load = inputs.load;
     result.run = this->run_id;
     result.restarting = this->restarting;
     return result;
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -92,8 +92,7 @@
                          search& under_way) const;
     bool is_ruled_out(support::instant now, const search& under_way) const;
     std::optional<released> go_on(support::instant now,
-                                  const flow::flow_key& key,
-                                  search& under_way);
+                                  const flow::flow_key& key, search& under_way);
     std::vector<released> release(const flow::flow_key& key, search found,
                                   support::endpoint agent) const;
 
@@ -288,17 +287,17 @@
                                     this->rules.services_of(key.service),
                                     flow::flow_hash(key));
     for (const support::endpoint agent : order) {
-        const bool known = std::find(under_way.order.begin(),
-                                     under_way.order.end(),
-                                     agent) != under_way.order.end();
+        const bool known =
+            std::find(under_way.order.begin(), under_way.order.end(), agent) !=
+            under_way.order.end();
         if (!known) {
             under_way.order.push_back(agent);
         }
     }
 }
 
-bool dispatcher::implementation::is_ruled_out(
-    support::instant now, const search& under_way) const {
+bool dispatcher::implementation::is_ruled_out(support::instant now,
+                                              const search& under_way) const {
     const std::vector<const member*> all = this->members.all();
     return !all.empty() &&
            std::all_of(all.begin(), all.end(), [&](const member* each) {
@@ -309,10 +308,8 @@
 
 /// Takes a search further that need not wait any longer for the agents asked.
 /// Returns nothing if there is no more to be done for now.
-std::optional<released>
-dispatcher::implementation::go_on(support::instant now,
-                                  const flow::flow_key& key,
-                                  search& under_way) {
+std::optional<released> dispatcher::implementation::go_on(
+    support::instant now, const flow::flow_key& key, search& under_way) {
     if (under_way.asked == under_way.order.size()) {
         this->add_new_members(now, key, under_way);
     }
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -145,9 +145,8 @@
 
 bool member_table::is_lost(support::instant now, const member& each) const {
     const member_settings& settings = this->self->settings;
-    const support::duration limit = each.report.restarting
-                                        ? settings.restart_time
-                                        : settings.lost_after;
+    const support::duration limit =
+        each.report.restarting ? settings.restart_time : settings.lost_after;
     return now - std::max(each.last_answer, this->self->resumed_at) > limit &&
            this->is_connected(now);
 }
--- /dev/null
+++ b/unittests/ownership/flow_ledger_test.cpp
@@ -0,0 +1,103 @@
+#include <guavastair/ownership.hpp>
+
+#include <doctest/doctest.h>
+
+namespace flow = guavastair::flow;
+namespace ownership = guavastair::ownership;
+namespace peer = guavastair::peer;
+namespace support = guavastair::support;
+
+static peer::listed_flow listed(std::uint16_t port, std::uint32_t ack = 0) {
+    return {{{{0x64400001}, port}, {{0xc6120001}, 443}}, ack};
+}
+
+static ownership::server_report server(std::int64_t born) {
+    ownership::server_report report;
+    report.id = "i-1";
+    report.born = born;
+    return report;
+}
+
+static peer::flow_list remembered() {
+    return {7, "i-1", {listed(1), listed(2), listed(3)}};
+}
+
+TEST_CASE("a list is written when it changed, and not too often") {
+    ownership::flow_ledger ledger({}, {0});
+    CHECK_FALSE(ledger.next_write({1000}, {listed(1)}, server(7)).has_value());
+    const auto first = ledger.next_write({2000}, {listed(1)}, server(7));
+    REQUIRE(first.has_value());
+    CHECK(first->server_born == 7);
+    CHECK(first->flows.size() == 1);
+    CHECK_FALSE(ledger.next_write({5000}, {listed(1)}, server(7)).has_value());
+    CHECK(ledger.next_write({6000}, {listed(2)}, server(7)).has_value());
+    CHECK_FALSE(ledger.next_write({7000}, {listed(1)}, server(7)).has_value());
+    CHECK(ledger.next_write({8000}, {listed(1)}, server(7)).has_value());
+}
+
+TEST_CASE("a list is written again before a reset would be too far off") {
+    ownership::flow_ledger ledger({}, {0});
+    REQUIRE(ledger.next_write({2000}, {listed(1, 100)}, server(7)));
+    CHECK_FALSE(ledger.next_write({5000}, {listed(1, 20'000)}, server(7)));
+    CHECK(ledger.next_write({8000}, {listed(1, 30'000)}, server(7)));
+}
+
+TEST_CASE("nothing is written before the server is known") {
+    ownership::flow_ledger ledger({}, {0});
+    CHECK_FALSE(ledger.next_write({2000}, {listed(1)}, std::nullopt));
+}
+
+TEST_CASE("a report of another start proves that the flows are gone") {
+    ownership::flow_ledger ledger({}, {0});
+    ledger.on_recalled({10}, remembered());
+    CHECK(ledger.on_report({20}, server(8)).size() == 3);
+    CHECK(ledger.on_report({30}, server(9)).empty());
+}
+
+TEST_CASE("a report of the same start keeps the flows") {
+    ownership::flow_ledger ledger({}, {0});
+    ledger.on_recalled({10}, remembered());
+    CHECK(ledger.on_report({20}, server(7)).empty());
+    CHECK(ledger.on_report({30}, server(8)).empty());
+}
+
+TEST_CASE("two flows given back prove it, one flow given back twice does not") {
+    ownership::flow_ledger ledger({}, {0});
+    ledger.on_recalled({10}, remembered());
+    CHECK(ledger.on_returned({20}, listed(1).key).empty());
+    CHECK(ledger.on_returned({30}, listed(1).key).empty());
+    CHECK(ledger.on_returned({40}, listed(9).key).empty());
+    CHECK(ledger.on_returned({50}, listed(2).key).size() == 3);
+}
+
+TEST_CASE("a flow on which the server speaks keeps all of them") {
+    ownership::flow_ledger ledger({}, {0});
+    SUBCASE("before the list was read") {
+        ledger.on_server_packet(listed(2).key);
+        ledger.on_recalled({10}, remembered());
+    }
+    SUBCASE("after the list was read") {
+        ledger.on_recalled({10}, remembered());
+        ledger.on_server_packet(listed(2).key);
+    }
+    CHECK(ledger.on_returned({20}, listed(1).key).empty());
+    CHECK(ledger.on_returned({30}, listed(3).key).empty());
+    CHECK(ledger.on_server_absent({40}).empty());
+}
+
+TEST_CASE("a server that is not up has forgotten its flows") {
+    ownership::flow_ledger ledger({}, {0});
+    ledger.on_recalled({10}, remembered());
+    CHECK(ledger.on_server_absent({20}).size() == 3);
+}
+
+TEST_CASE("what is recalled says nothing after a while") {
+    ownership::flow_ledger ledger({}, {0});
+    SUBCASE("read late") {
+        ledger.on_recalled({11'000}, remembered());
+    }
+    SUBCASE("proved late") {
+        ledger.on_recalled({10}, remembered());
+    }
+    CHECK(ledger.on_server_absent({12'000}).empty());
+}
--- /dev/null
+++ b/unittests/ownership/owner_table_test.cpp
@@ -0,0 +1,248 @@
+#include <guavastair/ownership.hpp>
+
+#include <doctest/doctest.h>
+
+namespace flow = guavastair::flow;
+namespace ownership = guavastair::ownership;
+namespace support = guavastair::support;
+
+using ownership::action_kind;
+using ownership::basis;
+using ownership::gate_answer;
+using ownership::gate_reason;
+
+static const support::endpoint service{{0xc6120001}, 443};
+static const support::endpoint caller{{0x64400001}, 1025};
+static const support::endpoint balancer{{0x0a010001}, 7000};
+static const support::endpoint other_agent{{0x0a010002}, 7000};
+static const support::endpoint third_agent{{0x0a010003}, 7000};
+
+static flow::packet packet(std::uint8_t flags, std::uint32_t acknowledgement,
+                           std::uint16_t size = 0) {
+    return {{caller, service}, {flags}, 500, acknowledgement, size};
+}
+
+static const flow::packet opening = packet(flow::tcp_flags::syn_bit, 0);
+static const flow::packet acceptance = {
+    {caller, service},
+    {flow::tcp_flags::syn_bit | flow::tcp_flags::ack_bit},
+    1000,
+    501,
+    0};
+static const flow::packet request =
+    packet(flow::tcp_flags::ack_bit, 1001, 100);
+static const flow::packet answer = {
+    {caller, service}, {flow::tcp_flags::ack_bit}, 1001, 601, 400};
+
+static const ownership::gate_state open_gate{gate_answer::take,
+                                             gate_reason::open};
+static const ownership::gate_state cold_gate{gate_answer::refuse,
+                                             gate_reason::cold};
+
+struct agent {
+    ownership::owner_table table{{}, {0}};
+    support::instant now{0};
+
+    ownership::action open(const ownership::gate_state& gate = open_gate,
+                           std::vector<support::endpoint> candidates = {},
+                           bool was_passed = false) {
+        return this->table.on_opening(this->now, opening, gate, balancer,
+                                      std::move(candidates), was_passed);
+    }
+    void open_flow() {
+        REQUIRE(this->open().kind == action_kind::deliver);
+        this->table.on_server_packet(this->now, acceptance);
+        REQUIRE(this->on(request).kind == action_kind::deliver);
+    }
+    ownership::action on(const flow::packet& body, bool locating = false) {
+        return this->table.on_packet(this->now, body, balancer, locating);
+    }
+};
+
+TEST_CASE("an opening is delivered, and a copy of it again") {
+    agent a;
+    CHECK(a.open().why == basis::opened);
+    CHECK(a.open(cold_gate).why == basis::repeated_opening);
+}
+
+TEST_CASE("an opening that is refused goes to the next candidate") {
+    agent a;
+    const auto action = a.open(cold_gate, {other_agent, third_agent});
+    CHECK(action.kind == action_kind::pass_on);
+    CHECK(action.next == other_agent);
+    CHECK(action.candidates == std::vector{third_agent});
+}
+
+TEST_CASE("an opening that nobody takes is reset at once") {
+    agent a;
+    const auto action = a.open(cold_gate);
+    CHECK(action.kind == action_kind::reset);
+    CHECK(action.why == basis::turned_away);
+}
+
+TEST_CASE("while an agent starts its openings are left to the next copy") {
+    agent a;
+    const ownership::gate_state starting{gate_answer::refuse,
+                                         gate_reason::unregistered};
+    CHECK(a.open(starting).kind == action_kind::drop);
+    CHECK(a.open(starting, {other_agent}).kind == action_kind::pass_on);
+}
+
+TEST_CASE("a queue that has just filled up leaves only the first copy") {
+    agent a;
+    const ownership::gate_state full{gate_answer::refuse,
+                                     gate_reason::full_for_now};
+    CHECK(a.open(full).kind == action_kind::drop);
+    flow::packet second = opening;
+    second.acknowledgement = 1;
+    CHECK(a.table.on_opening(a.now, second, full, balancer, {}, false).kind ==
+          action_kind::reset);
+}
+
+TEST_CASE("a passed opening tells the balancer where the flow is") {
+    agent a;
+    CHECK(a.open(open_gate, {}, true).tell_owned);
+}
+
+TEST_CASE("an opening that the server gives back goes on") {
+    agent a;
+    a.open(open_gate, {other_agent});
+    const auto action = a.table.on_returned(a.now, opening);
+    CHECK(action.kind == action_kind::pass_on);
+    CHECK(action.next == other_agent);
+    CHECK(action.balancer == balancer);
+}
+
+TEST_CASE("an open flow is delivered, and its owner told when looked for") {
+    agent a;
+    a.open_flow();
+    CHECK(a.on(request).why == basis::owned);
+    CHECK_FALSE(a.on(request).tell_owned);
+    CHECK(a.on(request, true).tell_owned);
+}
+
+TEST_CASE("a flow whose caller chose another server's answer is not here") {
+    agent a;
+    a.open();
+    a.table.on_server_packet(a.now, acceptance);
+    const flow::packet elsewhere =
+        packet(flow::tcp_flags::ack_bit, 0x70000000, 100);
+    const auto action = a.on(elsewhere);
+    CHECK(action.kind == action_kind::answer_absent);
+    CHECK(action.give_back);
+    CHECK_FALSE(action.certain);
+}
+
+TEST_CASE("a young agent asks its server about a flow, once") {
+    agent a;
+    const auto asked = a.on(request, true);
+    CHECK(asked.kind == action_kind::deliver);
+    CHECK(asked.why == basis::asked_server);
+
+    SUBCASE("the server has it") {
+        a.table.on_server_packet(a.now, answer);
+        CHECK(a.on(request).why == basis::owned);
+    }
+    SUBCASE("the server gives it back") {
+        const auto returned = a.table.on_returned(a.now, request);
+        CHECK(returned.kind == action_kind::answer_absent);
+        CHECK(returned.certain);
+        CHECK_FALSE(returned.give_back);
+        const auto again = a.on(request);
+        CHECK(again.kind == action_kind::answer_absent);
+        CHECK(again.certain);
+    }
+}
+
+TEST_CASE("an agent that has seen its server start asks nobody") {
+    agent a;
+    a.table.set_complete();
+    const auto action = a.on(request, true);
+    CHECK(action.kind == action_kind::answer_absent);
+    CHECK(action.certain);
+}
+
+TEST_CASE("an open flow that the server gives back is lost") {
+    agent a;
+    a.open_flow();
+    const auto action = a.table.on_returned(a.now, request);
+    CHECK(action.kind == action_kind::reset);
+    CHECK(action.why == basis::lost_with_server);
+    CHECK(a.on(request).why == basis::lost_with_server);
+}
+
+TEST_CASE("the flows of a lost server are named once, ended ones are not") {
+    agent a;
+    a.open_flow();
+    CHECK(a.table.on_server_lost(a.now).size() == 1);
+    CHECK(a.table.on_server_lost(a.now).empty());
+    CHECK(a.on(request).kind == action_kind::reset);
+}
+
+TEST_CASE("work in progress counts from the opening to the answer") {
+    agent a;
+    CHECK(a.table.load().in_progress == 0);
+    a.open();
+    CHECK(a.table.load().in_progress == 1);
+    a.table.on_server_packet(a.now, acceptance);
+    a.on(request);
+    CHECK(a.table.load().in_progress == 1);
+    a.table.on_server_packet(a.now, answer);
+    CHECK(a.table.load().in_progress == 0);
+    a.on(request);
+    CHECK(a.table.load().in_progress == 1);
+}
+
+TEST_CASE("an opening without a request stops counting soon") {
+    agent a;
+    a.open();
+    a.now = {400};
+    a.table.tick(a.now);
+    CHECK(a.table.load().in_progress == 0);
+}
+
+TEST_CASE("a request that nobody waits for any more stops counting") {
+    agent a;
+    a.open_flow();
+    a.now = {1900};
+    a.table.tick(a.now);
+    CHECK(a.table.load().in_progress == 1);
+    a.now = {2100};
+    a.table.tick(a.now);
+    CHECK(a.table.load().in_progress == 0);
+    CHECK(a.table.owns(request.key));
+}
+
+TEST_CASE("an idle flow is forgotten after its time") {
+    agent a;
+    a.open_flow();
+    a.now = {59'000};
+    a.table.tick(a.now);
+    CHECK(a.table.owns(request.key));
+    a.now = {61'000};
+    a.table.tick(a.now);
+    CHECK_FALSE(a.table.owns(request.key));
+}
+
+TEST_CASE("only flows that last are listed, in order") {
+    agent a;
+    a.open_flow();
+    CHECK(a.table.open_flows({500}, support::milliseconds(1000)).empty());
+    const auto listed =
+        a.table.open_flows({1500}, support::milliseconds(1000));
+    REQUIRE(listed.size() == 1);
+    CHECK(listed[0].acknowledged == 1001);
+}
+
+TEST_CASE("the table is bounded") {
+    ownership::owner_settings settings;
+    settings.max_flows = 1;
+    ownership::owner_table table(settings, {0});
+    table.on_opening({0}, opening, open_gate, balancer, {}, false);
+    flow::packet another = opening;
+    another.key.caller.port = 9;
+    const auto action = table.on_opening({0}, another, open_gate, balancer,
+                                         {other_agent}, false);
+    CHECK(action.kind == action_kind::pass_on);
+    CHECK(action.why == basis::table_full);
+}
--- /dev/null
+++ b/unittests/ownership/server_monitor_test.cpp
@@ -0,0 +1,141 @@
+#include <guavastair/ownership.hpp>
+
+#include <doctest/doctest.h>
+
+namespace ownership = guavastair::ownership;
+namespace peer = guavastair::peer;
+namespace support = guavastair::support;
+
+using ownership::report_effect;
+using peer::server_condition;
+
+static ownership::server_report report(std::int64_t born, std::int64_t sequence,
+                                       bool draining = false) {
+    return {"i-1", born, sequence, draining, 4, {}};
+}
+
+struct monitored {
+    ownership::server_monitor monitor{{}, {0}};
+    support::instant now{0};
+
+    void wait(std::int64_t ms) {
+        this->now = this->now + support::duration{ms};
+    }
+};
+
+TEST_CASE("a report makes the server ready, or draining") {
+    monitored m;
+    CHECK(m.monitor.condition() == server_condition::unknown);
+    CHECK(m.monitor.on_report(m.now, report(5, 1)) == report_effect::first);
+    CHECK(m.monitor.condition() == server_condition::ready);
+    CHECK(m.monitor.slots() == 4);
+    CHECK(m.monitor.on_report(m.now, report(5, 2, true)) ==
+          report_effect::updated);
+    CHECK(m.monitor.condition() == server_condition::draining);
+}
+
+TEST_CASE("an older report changes nothing") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 7, true));
+    CHECK(m.monitor.on_report(m.now, report(5, 6)) == report_effect::outdated);
+    CHECK(m.monitor.on_report(m.now, report(5, 7)) == report_effect::outdated);
+    CHECK(m.monitor.on_report(m.now, report(4, 99)) == report_effect::outdated);
+    CHECK(m.monitor.condition() == server_condition::draining);
+}
+
+TEST_CASE("a later start is another server, though its count begins anew") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 700, true));
+    CHECK(m.monitor.on_report(m.now, report(6, 1)) == report_effect::restarted);
+    CHECK(m.monitor.condition() == server_condition::ready);
+}
+
+TEST_CASE("a server that says nothing is probed, then missed, then gone") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1));
+    CHECK_FALSE(m.monitor.start_probe(m.now));
+    m.wait(1500);
+    CHECK(m.monitor.start_probe(m.now));
+    CHECK_FALSE(m.monitor.start_probe(m.now));
+    m.monitor.on_probe_silent(m.now);
+    CHECK(m.monitor.condition() == server_condition::silent);
+    m.wait(400);
+    CHECK(m.monitor.start_probe(m.now));
+    m.monitor.on_probe_silent(m.now);
+    CHECK(m.monitor.condition() == server_condition::gone);
+}
+
+TEST_CASE("a refused probe says at once that the server is gone") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1));
+    m.monitor.on_delivered(m.now);
+    m.wait(300);
+    CHECK(m.monitor.start_probe(m.now));
+    m.monitor.on_probe_refused(m.now);
+    CHECK(m.monitor.condition() == server_condition::gone);
+    CHECK(m.monitor.on_report(m.now, report(9, 1)) ==
+          report_effect::restarted);
+    CHECK(m.monitor.condition() == server_condition::ready);
+}
+
+TEST_CASE("a slow server that still accepts connections is not missed") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1));
+    for (int i = 0; i < 10; ++i) {
+        m.monitor.on_delivered(m.now);
+        m.wait(300);
+        CHECK(m.monitor.start_probe(m.now));
+        m.monitor.on_probe_accepted(m.now);
+        CHECK(m.monitor.condition() == server_condition::ready);
+    }
+}
+
+TEST_CASE("silent probes alone do not end a server that reports") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1));
+    m.monitor.on_delivered(m.now);
+    m.wait(300);
+    for (int i = 0; i < 5; ++i) {
+        m.monitor.on_probe_silent(m.now);
+    }
+    CHECK(m.monitor.condition() == server_condition::silent);
+    CHECK(m.monitor.on_report(m.now, report(5, 2)) == report_effect::updated);
+    CHECK(m.monitor.condition() == server_condition::ready);
+}
+
+TEST_CASE("a packet brings back a missed server, but not one that drains") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1, true));
+    m.monitor.on_probe_silent(m.now);
+    CHECK(m.monitor.condition() == server_condition::silent);
+    m.monitor.on_server_packet(m.now);
+    CHECK(m.monitor.condition() == server_condition::draining);
+}
+
+TEST_CASE("a server counts as cold until it has said otherwise") {
+    monitored m;
+    CHECK(m.monitor.is_cold(m.now));
+    auto warming = report(5, 1);
+    warming.warm_up_left = support::milliseconds(500);
+    m.monitor.on_report(m.now, warming);
+    m.wait(500);
+    CHECK(m.monitor.is_cold(m.now));
+    m.wait(200);
+    CHECK_FALSE(m.monitor.is_cold(m.now));
+    m.monitor.expect_cold(m.now);
+    CHECK(m.monitor.is_cold(m.now));
+    m.monitor.on_report(m.now, report(5, 2));
+    CHECK_FALSE(m.monitor.is_cold(m.now));
+}
+
+TEST_CASE("after standing still the server has to show itself again") {
+    monitored m;
+    m.monitor.on_report(m.now, report(5, 1));
+    m.wait(4000);
+    m.monitor.on_resumed(m.now);
+    CHECK(m.monitor.condition() == server_condition::unknown);
+    CHECK(m.monitor.is_cold(m.now));
+    CHECK(m.monitor.start_probe(m.now));
+    m.monitor.on_probe_accepted(m.now);
+    CHECK(m.monitor.condition() == server_condition::ready);
+}
