Take a later configuration although the view is behind; list after a cut

The one way found to get there: a watch that ends while the store keeps changes back names a revision without its change; the process then refuses the change from its peers as older, and its next watch, cut as the history goes, asks only for what came after. Change: the configuration is replaced by any that a later revision wrote; a watch that failed is followed by a list.

--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -79,6 +79,8 @@
 /// What a process holds of the operators' decisions.
 struct view_summary {
     support::revision as_of;
+    /// The revision that wrote the configuration.
+    support::revision config_revision;
     std::uint64_t digest = 0;
 
     bool operator==(const view_summary&) const = default;
--- a/include/guavastair/routing.hpp
+++ b/include/guavastair/routing.hpp
@@ -108,8 +108,10 @@
     routing_state(routing_state&&) noexcept;
     routing_state& operator=(routing_state&&) noexcept;
 
-    /// Takes `view` if it is not older than the one held. A configuration
-    /// whose version is lower than the one in force never replaces it.
+    /// Takes what is newer in `view`: the configuration if a later revision
+    /// wrote it, whatever the views' `as_of`, and the withdrawn data centres if
+    /// the whole view is not older. A configuration whose version is lower than
+    /// the one in force never replaces it.
     adoption adopt(operator_view view, support::instant now);
 
     /// Tells that the contents held were still complete at `as_of`.
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -62,6 +62,7 @@
 static void write_view(schema::View::Builder to, const view_summary& view) {
     to.setAsOf(view.as_of.value);
     to.setDigest(view.digest);
+    to.setConfigRevision(view.config_revision.value);
 }
 
 static capnp::Data::Reader to_data(std::span<const std::byte> bytes) {
@@ -162,7 +163,7 @@
 }
 
 static view_summary read_view(schema::View::Reader from) {
-    return {{from.getAsOf()}, from.getDigest()};
+    return {{from.getAsOf()}, {from.getConfigRevision()}, from.getDigest()};
 }
 
 static std::span<const std::byte> read_data(capnp::Data::Reader from) {
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -11,6 +11,7 @@
 struct View {
   asOf @0 :Int64;
   digest @1 :UInt64;
+  configRevision @2 :Int64;
 }
 
 struct Report {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -58,7 +58,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(968ec77e91341e06, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(968ec77e91341e06, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -311,6 +311,8 @@
 
   inline  ::uint64_t getDigest() const;
 
+  inline  ::int64_t getConfigRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -345,6 +347,9 @@
   inline  ::uint64_t getDigest();
   inline void setDigest( ::uint64_t value);
 
+  inline  ::int64_t getConfigRevision();
+  inline void setConfigRevision( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1393,6 +1398,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t View::Reader::getConfigRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t View::Builder::getConfigRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void View::Builder::setConfigRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Report::Reader::getAgent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/registry/follower.cpp
+++ b/lib/registry/follower.cpp
@@ -77,6 +77,9 @@
 void follower::on_failure(support::instant now) {
     this->under_way = false;
     this->failing = true;
+    // A watch that was cut may have missed changes that the store has
+    // forgotten since.
+    this->must_list = true;
     this->list_after.clear();
     this->not_before = now + this->pause.next();
 }
--- a/lib/relay/view_keeper.cpp
+++ b/lib/relay/view_keeper.cpp
@@ -39,7 +39,8 @@
 }
 
 peer::view_summary view_keeper::summary() const {
-    return {this->state.view().as_of, this->state.contents_digest()};
+    return {this->state.view().as_of, this->state.view().config_revision,
+            this->state.contents_digest()};
 }
 
 void view_keeper::on_store_update() {
@@ -80,14 +81,18 @@
                                const peer::view_summary& theirs) {
     const peer::view_summary ours = this->summary();
     const support::instant now = this->owner.now();
-    if (theirs.as_of < ours.as_of) {
-        return;
-    }
     if (theirs.digest == ours.digest) {
         this->state.confirm(theirs.as_of, now);
         this->behind_since.reset();
         return;
     }
+    const bool newer_configuration =
+        theirs.config_revision > ours.config_revision;
+    const bool newer_view = theirs.config_revision == ours.config_revision &&
+                            theirs.as_of >= ours.as_of;
+    if (!newer_configuration && !newer_view) {
+        return;
+    }
     if (!this->behind_since.has_value()) {
         this->behind_since = now;
     }
--- a/lib/routing/routing_state.cpp
+++ b/lib/routing/routing_state.cpp
@@ -91,12 +91,22 @@
 
 adoption routing_state::adopt(operator_view view, support::instant now) {
     operator_view& held = this->self->held;
+    const bool newer_configuration =
+        view.config.version > held.config.version &&
+        view.config_revision > held.config_revision;
     const bool older_configuration =
         view.config.version < held.config.version ||
         view.config_revision < held.config_revision;
-    if (view.as_of < held.as_of || older_configuration) {
+    const bool older_view = view.as_of < held.as_of;
+    if (older_configuration || (older_view && !newer_configuration)) {
         return adoption::stale;
     }
+    if (older_view) {
+        // A store that had forgotten its changes may have vouched for more
+        // than it told.
+        view.as_of = held.as_of;
+        view.withdrawn = held.withdrawn;
+    }
     this->self->confirmed = now;
     const std::uint64_t fresh = digest(view);
     if (fresh == this->self->held_digest) {
--- /dev/null
+++ b/unittests/steering/dispatcher_test.cpp
@@ -0,0 +1,247 @@
+#include "fixtures.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+namespace flow = guavastair::flow;
+namespace peer = guavastair::peer;
+namespace routing = guavastair::routing;
+namespace steering = guavastair::steering;
+namespace support = guavastair::support;
+
+using namespace guavastair::steering_test;
+using steering::dispatch_basis;
+using steering::dispatch_kind;
+
+namespace {
+
+constexpr std::array<std::byte, 4> bytes{};
+
+const flow::packet opening = packet_of(1, flow::tcp_flags::syn_bit);
+const flow::packet data = packet_of(1, flow::tcp_flags::ack_bit, 900, 4);
+
+struct balancer {
+    explicit balancer(std::uint32_t agents = 3)
+        : dispatcher(make_settings(), this->members, this->rules) {
+        this->rules.adopt(view_of(1), {0});
+        for (std::uint32_t i = 1; i <= agents; ++i) {
+            this->members.on_report({0}, report_of(i));
+        }
+        this->dispatcher.set_members_complete(true);
+    }
+
+    static steering::dispatcher_settings make_settings() {
+        steering::dispatcher_settings settings;
+        settings.opening.own_data_centre = {"a"};
+        return settings;
+    }
+
+    steering::dispatch on(const flow::packet& packet) {
+        return this->dispatcher.on_packet(this->now, packet, bytes);
+    }
+
+    std::vector<steering::released> absent(std::uint32_t agent,
+                                           bool certain = true) {
+        peer::absent answer;
+        answer.key = data.key;
+        answer.agent = agent_at(agent);
+        answer.certain = certain;
+        return this->dispatcher.on_absent(this->now, answer);
+    }
+
+    steering::member_table members{{}};
+    routing::routing_state rules;
+    steering::dispatcher dispatcher;
+    support::instant now{10};
+};
+
+} // namespace
+
+TEST_CASE("an opening goes to one agent, with the others as candidates") {
+    balancer b;
+    const auto first = b.on(opening);
+    CHECK(first.kind == dispatch_kind::send);
+    CHECK(first.carry == peer::carry_kind::open);
+    REQUIRE(first.to.size() == 1);
+    CHECK(first.candidates.size() == 2);
+    const auto copy = b.on(opening);
+    CHECK(copy.basis == dispatch_basis::repeated_opening);
+    CHECK(copy.to == first.to);
+}
+
+TEST_CASE("without a route an opening is reset only if that is certain") {
+    balancer b;
+    flow::packet unknown = opening;
+    unknown.key.service.port = 9;
+    CHECK(b.on(unknown).kind == dispatch_kind::reset);
+    b.now = {10'000};
+    CHECK(b.on(unknown).kind == dispatch_kind::drop);
+    b.rules.confirm({5}, b.now);
+    CHECK(b.on(unknown).kind == dispatch_kind::reset);
+}
+
+TEST_CASE("while nothing is known openings are dropped, not reset") {
+    balancer b(0);
+    CHECK(b.on(opening).kind == dispatch_kind::drop);
+    CHECK(b.on(opening).basis == dispatch_basis::starting);
+}
+
+TEST_CASE("an opening that no agent can take is reset at once") {
+    balancer b(0);
+    auto full = report_of(1);
+    full.takes_openings = false;
+    b.members.on_report({0}, full);
+    CHECK(b.on(opening).kind == dispatch_kind::reset);
+    CHECK(b.on(opening).basis == dispatch_basis::no_candidate);
+}
+
+TEST_CASE("a located flow goes straight to its agent") {
+    balancer b;
+    b.dispatcher.on_owned(b.now, data.key, agent_at(2));
+    const auto sent = b.on(data);
+    CHECK(sent.basis == dispatch_basis::located);
+    CHECK(sent.to == std::vector{agent_at(2)});
+}
+
+TEST_CASE("an unknown flow is searched, and what came meanwhile goes on") {
+    balancer b;
+    const auto searched = b.on(data);
+    CHECK(searched.basis == dispatch_basis::searching);
+    CHECK(searched.carry == peer::carry_kind::locate);
+    CHECK(searched.to.size() == 3);
+    CHECK(b.on(data).kind == dispatch_kind::hold);
+    const auto released =
+        b.dispatcher.on_owned(b.now, data.key, agent_at(3));
+    REQUIRE(released.size() == 1);
+    CHECK(released[0].step.to == std::vector{agent_at(3)});
+    CHECK_FALSE(b.dispatcher.searching());
+}
+
+TEST_CASE("a search goes on when all answered, or after its time") {
+    balancer b(10);
+    const auto first = b.on(data);
+    CHECK(first.to.size() == 3);
+    SUBCASE("all answered") {
+        std::vector<steering::released> next;
+        for (const support::endpoint agent : first.to) {
+            CHECK(next.empty());
+            next = b.absent(agent.address.value - 0x0a000000U);
+        }
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].step.to.size() == 7);
+    }
+    SUBCASE("one is dark") {
+        b.now = {60};
+        const auto next = b.dispatcher.tick(b.now);
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].step.to.size() == 7);
+    }
+}
+
+TEST_CASE("a flow that every agent rules out is reset") {
+    balancer b;
+    b.on(data);
+    CHECK(b.absent(1).empty());
+    CHECK(b.absent(2).empty());
+    const auto verdict = b.absent(3);
+    REQUIRE(verdict.size() == 1);
+    CHECK(verdict[0].step.kind == dispatch_kind::reset);
+    CHECK(verdict[0].step.basis == dispatch_basis::nowhere);
+}
+
+TEST_CASE("a flow is not reset while any agent may have it") {
+    balancer b;
+    b.on(data);
+    SUBCASE("one agent is not certain") {
+        b.absent(1);
+        b.absent(2, false);
+        CHECK(b.absent(3).empty());
+    }
+    SUBCASE("one agent is silent") {
+        b.absent(1);
+        CHECK(b.absent(2).empty());
+        b.now = {400};
+        CHECK(b.dispatcher.tick(b.now).empty());
+        CHECK_FALSE(b.dispatcher.searching());
+    }
+    SUBCASE("the list of agents may not be whole") {
+        b.dispatcher.set_members_complete(false);
+        b.absent(1);
+        b.absent(2);
+        CHECK(b.absent(3).empty());
+        b.now = {500};
+        b.dispatcher.set_members_complete(true);
+        const auto verdict = b.dispatcher.tick(b.now);
+        REQUIRE(verdict.size() == 1);
+        CHECK(verdict[0].step.kind == dispatch_kind::reset);
+    }
+    SUBCASE("an agent became known meanwhile") {
+        b.absent(1);
+        b.absent(2);
+        b.members.on_report(b.now, report_of(4));
+        const auto next = b.absent(3);
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].step.to == std::vector{agent_at(4)});
+    }
+}
+
+TEST_CASE("an agent that was given up counts as ruled out") {
+    balancer b;
+    b.now = {2000};
+    b.members.on_report(b.now, report_of(1));
+    b.members.on_report(b.now, report_of(2));
+    b.on(data);
+    b.absent(1);
+    b.absent(2);
+    b.now = {2100};
+    const auto verdict = b.dispatcher.tick(b.now);
+    REQUIRE(verdict.size() == 1);
+    CHECK(verdict[0].step.kind == dispatch_kind::reset);
+}
+
+TEST_CASE("a packet that its agent gives back is searched elsewhere") {
+    balancer b;
+    b.dispatcher.on_owned(b.now, data.key, agent_at(2));
+    peer::absent answer;
+    answer.key = data.key;
+    answer.agent = agent_at(2);
+    answer.packet = bytes;
+    const auto next = b.dispatcher.on_absent(b.now, answer);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].step.basis == dispatch_basis::searching);
+    for (const support::endpoint agent : next[0].step.to) {
+        CHECK(agent != agent_at(2));
+    }
+    CHECK(b.on(data).kind == dispatch_kind::hold);
+}
+
+TEST_CASE("the flows of a lost agent are named once") {
+    balancer b;
+    b.dispatcher.on_owned(b.now, data.key, agent_at(2));
+    b.on(data);
+    const auto lost = b.dispatcher.take_lost(agent_at(2));
+    REQUIRE(lost.size() == 1);
+    CHECK(lost[0].key == data.key);
+    CHECK(lost[0].acknowledgement == 900);
+    CHECK(b.dispatcher.take_lost(agent_at(2)).empty());
+}
+
+TEST_CASE("held packets and searches are bounded") {
+    auto settings = balancer::make_settings();
+    settings.max_searches = 1;
+    settings.max_held = 1;
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    routing::routing_state rules;
+    rules.adopt(view_of(1), {0});
+    steering::dispatcher dispatcher(settings, members, rules);
+    CHECK(dispatcher.on_packet({0}, data, bytes).kind == dispatch_kind::send);
+    CHECK(dispatcher.on_packet({0}, data, bytes).kind == dispatch_kind::hold);
+    CHECK(dispatcher.on_packet({0}, data, bytes).basis ==
+          dispatch_basis::overload);
+    flow::packet another = data;
+    another.key.caller.port = 2;
+    CHECK(dispatcher.on_packet({0}, another, bytes).basis ==
+          dispatch_basis::overload);
+}
--- /dev/null
+++ b/unittests/steering/member_table_test.cpp
@@ -0,0 +1,127 @@
+#include "fixtures.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace steering = guavastair::steering;
+namespace support = guavastair::support;
+
+using namespace guavastair::steering_test;
+
+TEST_CASE("an agent is present while it answers") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    const auto* each = members.find(agent_at(1));
+    REQUIRE(each != nullptr);
+    CHECK(members.is_present({600}, *each));
+    CHECK_FALSE(members.is_present({601}, *each));
+    CHECK(members.takes_openings({600}, *each));
+    CHECK_FALSE(members.takes_openings({601}, *each));
+}
+
+TEST_CASE("a listed agent that could not answer yet is tried") {
+    steering::member_table members({});
+    const std::vector listed{report_of(1)};
+    members.set_listed({0}, listed);
+    const auto* each = members.find(agent_at(1));
+    REQUIRE(each != nullptr);
+    CHECK(members.takes_openings({100}, *each));
+    CHECK_FALSE(members.is_present({100}, *each));
+    CHECK_FALSE(members.takes_openings({700}, *each));
+}
+
+TEST_CASE("an agent's own word outweighs its entry") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1, "a", "drawings"));
+    const std::vector listed{report_of(1, "a", "portal")};
+    members.set_listed({1}, listed);
+    CHECK(members.members_of({"drawings"}).size() == 1);
+    CHECK(members.members_of({"portal"}).empty());
+}
+
+TEST_CASE("a cold agent gets no more openings than it has announced") {
+    steering::member_table members({});
+    auto report = report_of(1);
+    report.opening_budget = 2;
+    members.on_report({0}, report);
+    const auto* each = members.find(agent_at(1));
+    members.on_opening_sent(agent_at(1));
+    CHECK(members.takes_openings({1}, *each));
+    members.on_opening_sent(agent_at(1));
+    CHECK_FALSE(members.takes_openings({1}, *each));
+    members.on_report({2}, report);
+    CHECK(members.takes_openings({2}, *each));
+}
+
+TEST_CASE("a silent agent is given up only while most others answer") {
+    steering::member_table members({});
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        members.on_report({0}, report_of(i));
+    }
+    const auto* each = members.find(agent_at(1));
+    CHECK_FALSE(members.is_lost({5000}, *each));
+    for (std::uint32_t i = 2; i <= 4; ++i) {
+        members.on_report({5000}, report_of(i));
+    }
+    CHECK(members.is_lost({5000}, *each));
+    CHECK_FALSE(members.is_lost({1200}, *each));
+}
+
+TEST_CASE("an agent that announced its restart is given more time") {
+    steering::member_table members({});
+    auto leaving = report_of(1);
+    leaving.restarting = true;
+    members.on_report({0}, leaving);
+    const auto* each = members.find(agent_at(1));
+    for (std::int64_t now = 0; now <= 9000; now += 500) {
+        members.on_report({now}, report_of(2));
+        members.on_report({now}, report_of(3));
+        CHECK(members.is_lost({now}, *each) == (now > 8000));
+    }
+}
+
+TEST_CASE("after standing still silence counts from the end of it") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    members.on_report({0}, report_of(2));
+    members.on_resumed({10'000});
+    const auto* each = members.find(agent_at(1));
+    CHECK(members.is_present({10'100}, *each));
+    CHECK_FALSE(members.is_lost({10'500}, *each));
+}
+
+TEST_CASE("pings are spaced, those to long silent agents wider") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    CHECK(members.due_for_ping({0}).size() == 1);
+    CHECK(members.due_for_ping({249}).empty());
+    CHECK(members.due_for_ping({250}).size() == 1);
+    int pings = 0;
+    for (std::int64_t now = 20'000; now < 30'000; now += 50) {
+        pings += static_cast<int>(members.due_for_ping({now}).size());
+    }
+    CHECK(pings == 10);
+}
+
+TEST_CASE("agents that are gone are forgotten, listed ones are not") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    const std::vector listed{report_of(2)};
+    members.set_listed({0}, listed);
+    members.tick({59'000});
+    CHECK(members.size() == 2);
+    members.tick({61'000});
+    CHECK(members.size() == 1);
+    CHECK(members.find(agent_at(2)) != nullptr);
+}
+
+TEST_CASE("the table is bounded") {
+    steering::member_settings settings;
+    settings.max_members = 2;
+    steering::member_table members(settings);
+    for (std::uint32_t i = 1; i <= 5; ++i) {
+        members.on_report({0}, report_of(i));
+    }
+    CHECK(members.size() == 2);
+}
--- /dev/null
+++ b/unittests/steering/openings_test.cpp
@@ -0,0 +1,154 @@
+#include "fixtures.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace routing = guavastair::routing;
+namespace steering = guavastair::steering;
+namespace support = guavastair::support;
+
+using namespace guavastair::steering_test;
+
+namespace {
+
+struct fleet {
+    fleet() {
+        this->settings.own_data_centre = {"a"};
+        this->rules.adopt(view_of(1), {0});
+    }
+
+    std::vector<support::endpoint> choose(std::uint64_t hash) const {
+        return steering::choose_opening({10}, this->settings, this->members,
+                                        this->rules, {"portal"}, hash);
+    }
+
+    steering::opening_settings settings;
+    steering::member_table members{{}};
+    routing::routing_state rules;
+};
+
+std::uint64_t hash_of(std::uint64_t number) {
+    return number * 0x9e3779b97f4a7c15U;
+}
+
+} // namespace
+
+TEST_CASE("the own data centre comes first, the others follow") {
+    fleet f;
+    f.members.on_report({0}, report_of(1, "b"));
+    f.members.on_report({0}, report_of(2, "a"));
+    f.members.on_report({0}, report_of(3, "c"));
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        const auto chosen = f.choose(hash_of(i));
+        REQUIRE(chosen.size() == 3);
+        CHECK(chosen[0] == agent_at(2));
+    }
+}
+
+TEST_CASE("openings spread evenly over idle servers") {
+    fleet f;
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        f.members.on_report({0}, report_of(i));
+    }
+    std::map<support::endpoint, int> counts;
+    for (std::uint64_t i = 0; i < 8000; ++i) {
+        ++counts[f.choose(hash_of(i))[0]];
+    }
+    for (const auto& [agent, count] : counts) {
+        CHECK(count > 1700);
+        CHECK(count < 2300);
+    }
+}
+
+TEST_CASE("load pattern: one slow server") {
+    // Work piles up at one of four; it gets only the openings for which it is
+    // compared with nobody: none.
+    fleet f;
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        auto report = report_of(i);
+        report.load.in_progress = i == 1 ? 6 : 1;
+        f.members.on_report({0}, report);
+    }
+    for (std::uint64_t i = 0; i < 500; ++i) {
+        CHECK(f.choose(hash_of(i))[0] != agent_at(1));
+    }
+}
+
+TEST_CASE("load pattern: a data centre too busy sends openings elsewhere") {
+    fleet f;
+    auto busy = report_of(1, "a");
+    busy.load.in_progress = 8;
+    busy.load.mean_in_progress = 8'000;
+    f.members.on_report({0}, busy);
+    f.members.on_report({0}, report_of(2, "b"));
+    CHECK(f.choose(1)[0] == agent_at(2));
+    CHECK(f.choose(1)[1] == agent_at(1));
+    busy.load.in_progress = 1;
+    busy.load.mean_in_progress = 500;
+    f.members.on_report({0}, busy);
+    CHECK(f.choose(1)[0] == agent_at(1));
+}
+
+TEST_CASE("load pattern: a burst between two reports is spread") {
+    // No report comes while 40 openings do; each counts at once.
+    fleet f;
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        f.members.on_report({0}, report_of(i));
+    }
+    std::map<support::endpoint, int> counts;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        const auto chosen = f.choose(hash_of(i));
+        f.members.on_opening_sent(chosen[0]);
+        ++counts[chosen[0]];
+    }
+    for (const auto& [agent, count] : counts) {
+        CHECK(count >= 8);
+        CHECK(count <= 12);
+    }
+}
+
+TEST_CASE("withdrawn, unable and silent agents are left out") {
+    fleet f;
+    f.members.on_report({0}, report_of(1, "a"));
+    f.members.on_report({0}, report_of(2, "b"));
+    auto unable = report_of(3, "a");
+    unable.takes_openings = false;
+    f.members.on_report({0}, unable);
+    auto view = view_of(2);
+    view.withdrawn = {{"a"}};
+    f.rules.adopt(view, {1});
+    CHECK(f.choose(1) == std::vector{agent_at(2)});
+    CHECK(steering::choose_opening({5000}, f.settings, f.members, f.rules,
+                                   {"portal"}, 1)
+              .empty());
+}
+
+TEST_CASE("a search begins where the opening went") {
+    fleet f;
+    for (std::uint32_t i = 1; i <= 12; ++i) {
+        f.members.on_report({0}, report_of(i, i <= 4 ? "a" : "b"));
+    }
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        const std::vector<support::service_name> services{{"portal"}};
+        const auto order = steering::search_order(
+            {10}, f.settings, f.members, services, hash_of(i));
+        CHECK(order.size() == 12);
+        const auto opened = f.choose(hash_of(i))[0];
+        const auto place =
+            std::find(order.begin(), order.end(), opened) - order.begin();
+        CHECK(place < 2);
+    }
+}
+
+TEST_CASE("silent agents and those of other services are searched last") {
+    fleet f;
+    f.members.on_report({0}, report_of(1, "a"));
+    f.members.on_report({5000}, report_of(2, "b"));
+    f.members.on_report({5000}, report_of(3, "a", "drawings"));
+    const std::vector<support::service_name> services{{"portal"}};
+    const auto order =
+        steering::search_order({5010}, f.settings, f.members, services, 1);
+    CHECK(order == std::vector{agent_at(2), agent_at(3), agent_at(1)});
+}
