--- a/include/guavastair/line_log.hpp
+++ b/include/guavastair/line_log.hpp
@@ -25,7 +25,7 @@
     /// Lines of one event in one second; further ones are counted.
     std::uint32_t lines_per_event = 100;
     /// Bytes that wait for the reader; further lines are counted.
-    std::size_t buffer_size = 256 * 1024;
+    std::size_t buffer_size = std::size_t{256} * 1024;
 };
 
 /// Collects lines and writes them when asked. Not thread-safe.
--- a/lib/http/socket.cpp
+++ b/lib/http/socket.cpp
@@ -10,7 +10,7 @@
 namespace guavastair::http {
 
 /// Bytes read in one system call.
-static constexpr std::size_t read_size = 16 * 1024;
+static constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 descriptor::descriptor(int opened) : value(opened) {}
 
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -310,8 +310,8 @@
         return this->self->pass_on(std::move(candidates), balancer,
                                    basis::table_full);
     }
-    const action result = this->self->open(now, packet, balancer,
-                                           std::move(candidates), was_passed);
+    action result = this->self->open(now, packet, balancer,
+                                     std::move(candidates), was_passed);
     this->self->flows[packet.key].request_timeout = gate.request_timeout;
     return result;
 }
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -789,7 +789,7 @@
 }
 
 absl::Status agent::run() {
-    const absl::Status opened = this->open();
+    absl::Status opened = this->open();
     if (!opened.ok()) {
         return opened;
     }
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -419,7 +419,7 @@
 absl::Status balancer::run() {
     this->started = this->shell.now();
     this->awake_since = this->started;
-    const auto opened = [this]() -> absl::Status {
+    absl::Status opened = [this]() -> absl::Status {
         absl::Status status =
             this->shell.handle_signals([this] { this->stop(); }, [] {});
         if (status.ok()) {
@@ -439,7 +439,7 @@
     if (!opened.ok()) {
         return opened;
     }
-    const absl::Status following = this->view.start();
+    absl::Status following = this->view.start();
     if (!following.ok()) {
         return following;
     }
--- a/lib/relay/view_keeper.cpp
+++ b/lib/relay/view_keeper.cpp
@@ -25,8 +25,7 @@
       resumed_at(chosen.now()) {}
 
 absl::Status view_keeper::start() {
-    const absl::Status listening =
-        this->server.listen(this->owner.settings.peers);
+    absl::Status listening = this->server.listen(this->owner.settings.peers);
     if (!listening.ok()) {
         return listening;
     }
--- a/lib/routing/routing_state.cpp
+++ b/lib/routing/routing_state.cpp
@@ -66,13 +66,12 @@
         this->ever.erase(this->ever.begin());
     }
     std::vector<support::service_name>& services = this->ever[each.address];
+    std::vector<support::service_name> present;
     for (const weighted_service& choice : each.services) {
         std::erase(services, choice.service);
+        present.push_back(choice.service);
     }
-    for (auto choice = each.services.rbegin(); choice != each.services.rend();
-         ++choice) {
-        services.insert(services.begin(), choice->service);
-    }
+    services.insert(services.begin(), present.begin(), present.end());
 }
 
 void routing_state::implementation::index_routes() {
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -47,13 +47,14 @@
 
     absl::Status put(const std::string& key, const std::string& value) {
         std::optional<absl::Status> got;
-        this->client.put(key, value, [&got](absl::Status s) { got = s; });
+        this->client.put(key, value,
+                         [&got](const absl::Status& s) { got = s; });
         return this->wait(got);
     }
 
     absl::Status remove(const std::string& key) {
         std::optional<absl::Status> got;
-        this->client.remove(key, [&got](absl::Status s) { got = s; });
+        this->client.remove(key, [&got](const absl::Status& s) { got = s; });
         return this->wait(got);
     }
 
--- a/unittests/platform/store_standin.cpp
+++ b/unittests/platform/store_standin.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cassert>
+
 namespace guavastair::platform_test {
 
 static std::string query_value(const std::string& target,
@@ -37,9 +39,11 @@
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof at;
-    bind(this->listener, reinterpret_cast<sockaddr*>(&at), size);
+    auto* raw = reinterpret_cast<sockaddr*>(&at);
+    [[maybe_unused]] const int bound = ::bind(this->listener, raw, size);
+    assert(bound == 0 && "the loopback address has a free port");
     listen(this->listener, 16);
-    getsockname(this->listener, reinterpret_cast<sockaddr*>(&at), &size);
+    getsockname(this->listener, raw, &size);
     this->port = ntohs(at.sin_port);
     this->worker = std::thread([this] { this->serve(); });
 }
--- a/unittests/steering/flow_simulation_test.cpp
+++ b/unittests/steering/flow_simulation_test.cpp
@@ -114,7 +114,7 @@
     }
 
     /// Later, or never, or twice.
-    void send(event call) {
+    void send(const event& call) {
         if (this->draw(100) == 0) {
             return;
         }
@@ -140,8 +140,8 @@
     void start_agent(std::uint32_t number) {
         ownership::owner_settings settings;
         settings.longest_flow = support::seconds(60);
-        this->agents[number].table = std::make_unique<ownership::owner_table>(
-            settings, this->time());
+        this->agents[number].table =
+            std::make_unique<ownership::owner_table>(settings, this->time());
     }
 
     // ------------------------------------------------------------ callers
@@ -162,8 +162,7 @@
     }
 
     void to_balancer(const flow::packet& head) {
-        const auto which =
-            static_cast<std::size_t>(this->draw(balancer_count));
+        const auto which = static_cast<std::size_t>(this->draw(balancer_count));
         this->send([this, which, head] {
             const std::array<std::byte, 1> bytes{};
             balancer& at = *this->balancers[which];
@@ -244,8 +243,7 @@
         return ownership::judge_opening(inputs);
     }
 
-    void at_agent(std::size_t from, std::uint32_t number,
-                  peer::carry_kind kind,
+    void at_agent(std::size_t from, std::uint32_t number, peer::carry_kind kind,
                   const std::vector<support::endpoint>& candidates,
                   bool was_passed, const carried& what) {
         this->most_hops = std::max(this->most_hops, what.hops);
@@ -322,9 +320,8 @@
             this->foreign_openings +=
                 this->ever_services.count(here.service) == 0 ? 1 : 0;
             here.half_open.insert(port);
-            flow::packet accepted =
-                packet_of(port,
-                          flow::tcp_flags::syn_bit | flow::tcp_flags::ack_bit);
+            flow::packet accepted = packet_of(
+                port, flow::tcp_flags::syn_bit | flow::tcp_flags::ack_bit);
             accepted.sequence = first_sequence(number);
             table.on_server_packet(this->time(), accepted);
             if (this->homes.count(port) == 0 && this->draw(10) != 0) {
