Metrics, reload of settings, fuzz targets of the platform's readers

Cause: on-call engineers had log lines only; changed settings were not taken up; the new readers were not fuzzed. The list of flows is written at most every 3 s instead of 2 s.

--- /dev/null
+++ b/fuzz/platform_documents/fuzz_platform_documents.cpp
@@ -0,0 +1,41 @@
+/// Feeds arbitrary text to the readers of status reports, configurations,
+/// views and settings. What a view's reader accepts must come back the same.
+
+#include "operator_documents.hpp"
+#include "server_report.hpp"
+#include "settings.hpp"
+
+#include <cstdlib>
+#include <string>
+
+namespace platform = guavastair::platform;
+
+static void require(bool condition) {
+    if (!condition) {
+        std::abort();
+    }
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    const auto call = platform::read_control_call(
+        {"POST", "/api/instances/i-1/heartbeat", text});
+    if (call.ok()) {
+        const auto& report = std::get<platform::status_call>(*call).report;
+        require(report.slots > 0 && report.warm_up_left.ms >= 0);
+    }
+    const auto config = platform::parse_configuration(text);
+    if (config.ok()) {
+        for (const auto& route : config->routes) {
+            require(!route.services.empty() && route.address.port != 0);
+        }
+    }
+    const auto view = platform::parse_view(text);
+    if (view.ok()) {
+        const auto again = platform::parse_view(platform::write_view(*view));
+        require(again.ok() && again->config == view->config);
+    }
+    (void)platform::parse_settings(text, "fuzz");
+    return 0;
+}
--- /dev/null
+++ b/fuzz/platform_packet/fuzz_platform_packet.cpp
@@ -0,0 +1,38 @@
+/// Feeds arbitrary datagrams to the reader of the platform's packets.
+
+#include "packet.hpp"
+
+#include <cstdlib>
+#include <vector>
+
+namespace platform = guavastair::platform;
+
+static void require(bool condition) {
+    if (!condition) {
+        std::abort();
+    }
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+    const auto bytes = std::as_bytes(std::span(data, size));
+    for (const auto writer :
+         {platform::packet_writer::caller, platform::packet_writer::server}) {
+        const auto read = platform::parse_packet(bytes, writer);
+        if (!read.has_value()) {
+            continue;
+        }
+        require(read->head.payload_size + platform::packet_header_size == size);
+        std::vector<std::byte> copy(bytes.begin(), bytes.end());
+        platform::restore_packet(copy);
+        const auto again =
+            platform::parse_packet(copy, platform::packet_writer::caller);
+        require(again.has_value() && !again->returned);
+        const auto reset =
+            platform::make_reset(read->head.key, read->head.acknowledgement);
+        const auto answer =
+            platform::parse_packet(reset, platform::packet_writer::server);
+        require(answer.has_value() && answer->head.key == read->head.key);
+    }
+    return 0;
+}
--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -341,8 +341,10 @@
     /// The server gave a packet back that it has no flow for.
     action on_returned(support::instant now, const flow::packet& packet);
 
-    /// The server sent a packet to the caller.
-    void on_server_packet(support::instant now, const flow::packet& packet);
+    /// The server sent a packet to the caller. Returns how long the request
+    /// that it answers has waited, if it is the first of an answer.
+    std::optional<support::duration>
+    on_server_packet(support::instant now, const flow::packet& packet);
 
     /// The server is gone or is another one: none of the flows lives on.
     /// Returns the flows whose callers must hear of it.
@@ -373,7 +375,7 @@
 
 struct ledger_settings {
     /// Least time between two writes; longer where many agents share a store.
-    support::duration write_interval = support::seconds(2);
+    support::duration write_interval = support::seconds(3);
     /// Flows that end sooner are not worth a write.
     support::duration least_age = support::milliseconds(1000);
     /// A caller's acknowledgement may have moved by so much before the list is
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -25,6 +25,12 @@
 /// Largest message, in bytes; longer than a carried packet and its list.
 inline constexpr std::size_t max_message_size = 2048;
 
+/// Largest carried packet, in bytes.
+inline constexpr std::size_t max_carried_size = 1500;
+
+/// Longest name of a service or data centre, in bytes.
+inline constexpr std::size_t max_name_size = 128;
+
 /// Most agents listed in one message.
 inline constexpr std::size_t max_listed = 16;
 
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -399,15 +399,16 @@
     return result;
 }
 
-void owner_table::on_server_packet(support::instant now,
-                                   const flow::packet& packet) {
+std::optional<support::duration>
+owner_table::on_server_packet(support::instant now,
+                              const flow::packet& packet) {
     implementation& table = *this->self;
     const auto found = table.flows.find(packet.key);
     const bool accepts = packet.flags.syn() && packet.flags.ack();
     if (found == table.flows.end()) {
         if (packet.flags.rst() ||
             table.flows.size() >= table.settings.max_flows) {
-            return;
+            return std::nullopt;
         }
         flow_record& learned = table.flows[packet.key];
         learned.at = accepts ? stage::accepted : stage::open;
@@ -418,28 +419,30 @@
             learned.server_first = packet.sequence;
         }
         table.not_here.erase(to_key(packet.key));
-        return;
+        return std::nullopt;
     }
     flow_record& record = found->second;
     record.last_used = now;
     if (packet.flags.rst()) {
         record.at = stage::ended;
         table.end_request(record);
-        return;
+        return std::nullopt;
     }
     if (accepts) {
         record.server_first = packet.sequence;
         if (record.at == stage::opening) {
             record.at = stage::accepted;
         }
-        return;
+        return std::nullopt;
     }
     if (packet.flags.fin()) {
         record.server_finished = true;
     }
-    if (packet.payload_size > 0) {
-        table.end_request(record);
+    if (packet.payload_size == 0 || !record.waiting) {
+        return std::nullopt;
     }
+    table.end_request(record);
+    return now - record.waiting_since;
 }
 
 std::vector<peer::listed_flow>
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -189,6 +189,10 @@
     if (report.getCondition() >= condition_names.size()) {
         return malformed("unknown condition");
     }
+    if (report.getService().size() > max_name_size ||
+        report.getDataCentre().size() > max_name_size) {
+        return malformed("a name is too long");
+    }
     pong body;
     body.sequence = from.getSequence();
     body.view = read_view(from.getView());
@@ -213,6 +217,9 @@
     if (from.getKind() >= carry_names.size()) {
         return malformed("unknown way to carry");
     }
+    if (from.getPacket().size() > max_carried_size) {
+        return malformed("the packet is too long");
+    }
     carry body;
     body.kind = static_cast<carry_kind>(from.getKind());
     body.balancer = unpack(from.getBalancer());
@@ -228,6 +235,9 @@
 }
 
 static absl::StatusOr<message> read_body(schema::Absent::Reader from) {
+    if (from.getPacket().size() > max_carried_size) {
+        return malformed("the packet is too long");
+    }
     return absent{read_key(from.getKey()), unpack(from.getAgent()),
                   from.getLost(), from.getCertain(),
                   read_data(from.getPacket())};
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -1,3 +1,4 @@
+#include "metrics_page.hpp"
 #include "operator_documents.hpp"
 #include "packet.hpp"
 #include "process.hpp"
@@ -87,6 +88,12 @@
           ledger_writer(shell, ledger_settings(shell.settings)),
           ledger_reader(shell.loop, {.store = shell.settings.store},
                         shell.store_calls),
+          answer_times(page.add_histogram(
+              {"guavastair_answer_seconds",
+               "Time from a request, or its flow's opening, to the first "
+               "packet of the answer.",
+               {}},
+              {})),
           readiness(
               shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
@@ -116,6 +123,7 @@
     void on_body(support::endpoint from, const peer::owned& body);
     void on_body(support::endpoint from, const peer::absent& body);
 
+    void add_metrics();
     http::response answer(const http::request& ask);
     http::response on_call(const platform::status_call& call);
     http::response on_call(const platform::leave_call& call);
@@ -156,6 +164,12 @@
     registrar_driver ledger_writer;
     platform::store_client ledger_reader;
     ownership::opening_budget budget;
+    metrics::registry page;
+    decision_counters decisions{page, "guavastair_flow_decisions_total",
+                                "Decisions about packets of flows."};
+    decision_counters gates{page, "guavastair_openings_total",
+                            "Openings by what the gate said, and why."};
+    metrics::histogram& answer_times;
     http::server readiness;
     http::server control;
     http::connect_probe probe;
@@ -267,7 +281,19 @@
 void agent::log_action(const ownership::action& decided,
                        const flow::packet& packet,
                        const ownership::gate_state* gate) {
-    if (decided.why == ownership::basis::owned) {
+    this->decisions.count(ownership::to_string(decided.kind),
+                          ownership::to_string(decided.why));
+    if (gate != nullptr) {
+        this->gates.count(decided.why == ownership::basis::opened ? "taken"
+                                                                  : "declined",
+                          ownership::to_string(gate->reason));
+    }
+    // Answers to searches and questions to the server are counted only: many
+    // agents give them for one packet.
+    const bool is_routine = decided.why == ownership::basis::owned ||
+                            decided.why == ownership::basis::asked_server ||
+                            decided.why == ownership::basis::not_here;
+    if (is_routine) {
         return;
     }
     logging::line line("flow");
@@ -385,7 +411,12 @@
     const support::instant now = this->shell.now();
     this->monitor.on_server_packet(now);
     if (!packet->returned) {
-        this->owner.on_server_packet(now, packet->head);
+        const auto waited = this->owner.on_server_packet(now, packet->head);
+        if (waited.has_value()) {
+            constexpr double ms_per_second = 1000.0;
+            this->answer_times.record(static_cast<double>(waited->ms) /
+                                      ms_per_second);
+        }
         this->ledger.on_server_packet(packet->head.key);
         const support::endpoint caller{packet->head.key.caller.address,
                                        this->shell.settings.packets.port};
@@ -640,7 +671,40 @@
     return platform::readiness(!this->stopping);
 }
 
+void agent::add_metrics() {
+    add_common_metrics(this->page, this->shell, this->view);
+    this->page.add_gauge(
+        {"guavastair_requests_in_progress",
+         "Requests of callers without an answer yet.",
+         {}},
+        [this] { return static_cast<double>(this->owner.load().in_progress); });
+    this->page.add_gauge(
+        {"guavastair_flows", "Flows of the server.", {}},
+        [this] { return static_cast<double>(this->owner.load().flows); });
+    this->page.add_gauge(
+        {"guavastair_openings_left",
+         "Openings that the server, while cold, bears in this second; -1 if "
+         "there is no limit.",
+         {}},
+        [this] {
+            const std::uint32_t left = this->gate_inputs().openings_left;
+            return left == UINT32_MAX ? -1.0 : static_cast<double>(left);
+        });
+    this->page.add_gauge(
+        {"guavastair_balancers_heard",
+         "Balancers that have pinged lately.",
+         {}},
+        [this] { return static_cast<double>(this->balancers.size()); });
+    this->page.add_counter({"guavastair_messages_malformed_total",
+                            "Messages of peers that could not be read.",
+                            {}},
+                           [this] { return this->link.malformed(); });
+}
+
 http::response agent::answer(const http::request& ask) {
+    if (ask.target == metrics_path) {
+        return metrics_answer(this->page);
+    }
     const auto call = platform::read_control_call(ask);
     if (!call.ok()) {
         logging::line line("call_refused");
@@ -752,8 +816,7 @@
 }
 
 absl::Status agent::open() {
-    absl::Status status =
-        this->shell.handle_signals([this] { this->stop(); }, [] {});
+    absl::Status status = this->shell.handle_signals([this] { this->stop(); });
     if (status.ok()) {
         status = this->link.open(
             [this](support::endpoint from, const peer::message& body) {
@@ -793,6 +856,7 @@
     if (!opened.ok()) {
         return opened;
     }
+    this->add_metrics();
     this->publish();
     this->recall_flows();
     this->start_probe();
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -1,3 +1,4 @@
+#include "metrics_page.hpp"
 #include "operator_documents.hpp"
 #include "packet.hpp"
 #include "process.hpp"
@@ -94,6 +95,7 @@
     void schedule_search_tick();
     void note_presence();
     void give_up_lost();
+    void add_metrics();
     http::response answer(const http::request& ask);
     bool is_ready() const;
     bool knows_all_agents() const;
@@ -106,6 +108,9 @@
     steering::member_table members;
     steering::dispatcher dispatcher;
     http::server control;
+    metrics::registry page;
+    decision_counters decisions{page, "guavastair_dispatches_total",
+                                "Decisions about callers' packets."};
     std::unique_ptr<net::udp_socket> packets;
     std::map<support::endpoint, support::instant> balancers;
     std::map<support::endpoint, bool> presence;
@@ -195,6 +200,8 @@
 void balancer::carry_out(const steering::dispatch& decided,
                          const flow::flow_key& key,
                          std::span<const std::byte> bytes) {
+    this->decisions.count(steering::to_string(decided.kind),
+                          steering::to_string(decided.basis));
     this->log_dispatch(decided, key);
     if (decided.kind == steering::dispatch_kind::reset) {
         this->reset(bytes);
@@ -391,7 +398,37 @@
            knows_agents;
 }
 
+void balancer::add_metrics() {
+    add_common_metrics(this->page, this->shell, this->view);
+    this->page.add_gauge(
+        {"guavastair_agents_known", "Agents known.", {}},
+        [this] { return static_cast<double>(this->members.size()); });
+    this->page.add_gauge(
+        {"guavastair_agents_present", "Agents that answer.", {}}, [this] {
+            const support::instant now = this->shell.now();
+            const auto all = this->members.all();
+            return static_cast<double>(
+                std::count_if(all.begin(), all.end(), [&](const auto* each) {
+                    return this->members.is_present(now, *each);
+                }));
+        });
+    this->page.add_gauge({"guavastair_flow_locations",
+                          "Flows whose agent this balancer remembers.",
+                          {}},
+                         [this] {
+                             return static_cast<double>(
+                                 this->dispatcher.location_count());
+                         });
+    this->page.add_counter({"guavastair_messages_malformed_total",
+                            "Messages of peers that could not be read.",
+                            {}},
+                           [this] { return this->link.malformed(); });
+}
+
 http::response balancer::answer(const http::request& ask) {
+    if (ask.target == metrics_path) {
+        return metrics_answer(this->page);
+    }
     const auto call = platform::read_control_call(ask);
     if (!call.ok()) {
         return platform::refusal(call.status());
@@ -417,11 +454,12 @@
 }
 
 absl::Status balancer::run() {
+    this->add_metrics();
     this->started = this->shell.now();
     this->awake_since = this->started;
     absl::Status opened = [this]() -> absl::Status {
         absl::Status status =
-            this->shell.handle_signals([this] { this->stop(); }, [] {});
+            this->shell.handle_signals([this] { this->stop(); });
         if (status.ok()) {
             status = this->link.open(
                 [this](support::endpoint from, const peer::message& body) {
--- /dev/null
+++ b/lib/relay/metrics_page.hpp
@@ -0,0 +1,47 @@
+/// What a balancer or an agent tells about itself at /metrics.
+
+#ifndef GUAVASTAIR_LIB_RELAY_METRICS_PAGE_HPP
+#define GUAVASTAIR_LIB_RELAY_METRICS_PAGE_HPP
+
+#include "process.hpp"
+#include "view_keeper.hpp"
+
+#include <guavastair/http.hpp>
+#include <guavastair/metrics.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <string>
+#include <utility>
+
+namespace guavastair::relay {
+
+inline constexpr absl::string_view metrics_path = "/metrics";
+
+/// Registers what both processes have in common; `owner` and `view` must
+/// outlive `page`.
+void add_common_metrics(metrics::registry& page, process& owner,
+                        const view_keeper& view);
+
+/// Counts decisions by outcome and basis, which are closed lists of names.
+class decision_counters {
+public:
+    decision_counters(metrics::registry& page, std::string name,
+                      std::string help);
+
+    void count(absl::string_view outcome, absl::string_view basis);
+
+private:
+    metrics::registry& page;
+    std::string name;
+    std::string help;
+    absl::flat_hash_map<std::pair<std::string, std::string>, metrics::counter*>
+        counters;
+};
+
+/// The page as an answer.
+http::response metrics_answer(const metrics::registry& page);
+
+} // namespace guavastair::relay
+
+#endif
--- a/lib/relay/process.cpp
+++ b/lib/relay/process.cpp
@@ -1,6 +1,7 @@
 #include "process.hpp"
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -17,6 +18,10 @@
     support::milliseconds(250);
 static constexpr support::duration shortest_gap = support::seconds(1);
 
+/// How often a change of the settings file without a signal is looked for.
+static constexpr support::duration settings_check_interval =
+    support::seconds(2);
+
 /// Datagrams in one system call: bounds the memory of a socket's buffers.
 static constexpr std::size_t peer_batch = 16;
 /// Bytes that the kernel keeps for a socket in each direction.
@@ -64,8 +69,47 @@
                        event, content);
 }
 
-absl::Status process::handle_signals(std::function<void()> on_stop,
-                                     std::function<void()> on_reload) {
+/// When the settings file was last written, or 0.
+static std::int64_t settings_file_time() {
+    constexpr std::int64_t ns_per_second = 1'000'000'000;
+    struct stat status {};
+    if (stat(platform::settings_path().c_str(), &status) != 0) {
+        return 0;
+    }
+    return status.st_mtim.tv_sec * ns_per_second + status.st_mtim.tv_nsec;
+}
+
+void process::check_settings_file() {
+    const std::int64_t written = settings_file_time();
+    if (written != this->settings_written && written != 0) {
+        this->reload("file_changed");
+    }
+}
+
+void process::reload(absl::string_view cause) {
+    this->settings_written = settings_file_time();
+    auto read = platform::load_settings();
+    logging::line line("reload");
+    line.add("cause", cause);
+    if (!read.ok()) {
+        line.add("outcome", "refused").add("why", read.status().message());
+        this->log(logging::level::error, "reload", line);
+        return;
+    }
+    if (*read == this->settings) {
+        line.add("outcome", "unchanged");
+    } else if (platform::can_reload(this->settings, *read)) {
+        this->settings = *std::move(read);
+        line.add("outcome", "applied")
+            .add("of", this->settings.service)
+            .add("seeds", this->settings.seeds.size());
+    } else {
+        line.add("outcome", "needs_restart");
+    }
+    this->log(logging::level::info, "reload", line);
+}
+
+absl::Status process::handle_signals(std::function<void()> on_stop) {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
         return support::make_error(support::error_kind::internal,
@@ -79,19 +123,21 @@
         sigaction(number, &action, nullptr);
     }
     std::signal(SIGPIPE, SIG_IGN);
-    return this->loop.watch(this->signal_pipe, {.readable = true},
-                            [this, on_stop = std::move(on_stop),
-                             on_reload = std::move(on_reload)](net::readiness) {
-                                char number = 0;
-                                while (read(this->signal_pipe, &number, 1) ==
-                                       1) {
-                                    if (number == SIGHUP) {
-                                        on_reload();
-                                    } else {
-                                        on_stop();
-                                    }
-                                }
-                            });
+    this->settings_written = settings_file_time();
+    this->loop.call_every(settings_check_interval,
+                          [this] { this->check_settings_file(); });
+    return this->loop.watch(
+        this->signal_pipe, {.readable = true},
+        [this, on_stop = std::move(on_stop)](net::readiness) {
+            char number = 0;
+            while (read(this->signal_pipe, &number, 1) == 1) {
+                if (number == SIGHUP) {
+                    this->reload("signal");
+                } else {
+                    on_stop();
+                }
+            }
+        });
 }
 
 void process::watch_for_gaps(std::function<void(support::duration)> call) {
@@ -119,6 +165,14 @@
     this->on_gap(gap);
 }
 
+std::uint64_t process::lines_written() const {
+    return this->writer.written();
+}
+
+std::uint64_t process::lines_left_out() const {
+    return this->writer.left_out();
+}
+
 std::uint64_t process::random() {
     std::random_device source;
     constexpr int word_bits = 32;
--- a/lib/relay/process.hpp
+++ b/lib/relay/process.hpp
@@ -33,14 +33,17 @@
     void log(logging::level severity, absl::string_view event,
              const logging::line& content);
 
-    /// Calls `on_stop` at SIGTERM or SIGINT and `on_reload` at SIGHUP.
-    absl::Status handle_signals(std::function<void()> on_stop,
-                                std::function<void()> on_reload);
+    /// Calls `on_stop` at SIGTERM or SIGINT. At SIGHUP, and when the file has
+    /// changed without it, the settings are read again.
+    absl::Status handle_signals(std::function<void()> on_stop);
 
     /// Calls `call` with the length of the gap when the process has stood
     /// still, or its VM slept, for longer than a second.
     void watch_for_gaps(std::function<void(support::duration)> call);
 
+    std::uint64_t lines_written() const;
+    std::uint64_t lines_left_out() const;
+
     /// A random number for choices that must differ between processes.
     std::uint64_t random();
 
@@ -51,12 +54,16 @@
 
 private:
     void check_for_gap();
+    void check_settings_file();
+    void reload(absl::string_view cause);
 
     line_log::writer writer;
     int signal_pipe = -1;
     std::function<void(support::duration)> on_gap;
     support::instant last_check;
     std::int64_t last_sleep_ms = 0;
+    /// When the settings file was last written, in ns since the Unix epoch.
+    std::int64_t settings_written = 0;
 };
 
 /// Sends and receives messages between processes of the system.
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -99,6 +99,19 @@
               .find("seeds") != std::string::npos);
 }
 
+TEST_CASE("new settings are taken up unless addresses change") {
+    const auto before = platform::parse_settings(agent_settings, "boot.toml");
+    const auto seeds = platform::parse_settings(
+        changed("\"10.0.0.1:8100\"", "\"10.0.0.3:8100\""), "boot.toml");
+    const auto moved = platform::parse_settings(
+        changed("10.0.0.9:8162", "10.0.0.9:8163"), "boot.toml");
+    REQUIRE(seeds.ok());
+    REQUIRE(moved.ok());
+    CHECK(platform::can_reload(*before, *seeds));
+    CHECK_FALSE(*before == *seeds);
+    CHECK_FALSE(platform::can_reload(*before, *moved));
+}
+
 TEST_CASE("broken TOML names the line") {
     CHECK(error_of("a = 1\nb = ").find("line 2") != std::string::npos);
 }
