Fetch a newer configuration although other peers are behind too

Their peers should have told them within 0.6 s, but each ping of a peer that had missed the change as well began the wait anew. Change: catch_up keeps the wait for a newer configuration apart; balancers watch the operators' keys for 1.5 to 3 s. Ruled out: a lost cut of the watch (a list follows every failure).

--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -189,6 +190,32 @@
 /// Decodes what encode_flow_list() made. Fails with error_kind::invalid_input.
 absl::StatusOr<flow_list> decode_flow_list(absl::string_view data);
 
+/// Decides, from what peers hold, when to fetch the operators' view from one of
+/// them. The store's own word is usually quicker, so a peer's newer view is
+/// left to it for a moment.
+class catch_up {
+public:
+    enum class step : std::uint8_t {
+        none,
+        /// The peer holds the same: ours was complete at its revision too.
+        confirm,
+        fetch,
+    };
+
+    explicit catch_up(support::duration patience = support::milliseconds(300));
+
+    /// A peer told `theirs`; `ours` is held here. `may_wait` is false while
+    /// nothing is held at all.
+    step on_summary(support::instant now, const view_summary& ours,
+                    const view_summary& theirs, bool may_wait);
+
+private:
+    support::duration patience;
+    /// Since when a newer configuration, and a newer view, have been seen.
+    std::optional<support::instant> newer_configuration_since;
+    std::optional<support::instant> newer_view_since;
+};
+
 using message = std::variant<ping, pong, carry, owned, absent>;
 
 /// Encodes into `out` and returns the size. Everything that honest senders
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -139,6 +139,11 @@
                const member_table& members, const routing::routing_state& rules,
                const support::service_name& service, std::uint64_t flow_hash);
 
+/// Whether each service that has agents has one that answers. A balancer for
+/// which this is not so is cut off, and others serve its callers better.
+bool reaches_every_service(support::instant now, const member_table& members,
+                           const routing::routing_state& rules);
+
 /// Every agent that may own a flow of `service` addresses, the likeliest
 /// first: those that choose_opening() compares first for this hash.
 std::vector<support::endpoint>
--- /dev/null
+++ b/lib/peer/catch_up.cpp
@@ -0,0 +1,46 @@
+#include <guavastair/peer.hpp>
+
+namespace guavastair::peer {
+
+catch_up::catch_up(support::duration chosen) : patience(chosen) {}
+
+/// Whether `since`, set now if it was not, lies back far enough; then the wait
+/// begins anew.
+static bool has_waited(std::optional<support::instant>& since,
+                       support::instant now, support::duration patience) {
+    if (!since.has_value()) {
+        since = now;
+    }
+    if (now - *since < patience) {
+        return false;
+    }
+    since = now;
+    return true;
+}
+
+catch_up::step catch_up::on_summary(support::instant now,
+                                    const view_summary& ours,
+                                    const view_summary& theirs, bool may_wait) {
+    const support::duration wait =
+        may_wait ? this->patience : support::duration{};
+    if (theirs.config_revision > ours.config_revision) {
+        return has_waited(this->newer_configuration_since, now, wait)
+                   ? step::fetch
+                   : step::none;
+    }
+    if (theirs.digest == ours.digest) {
+        // Says nothing about peers that hold more: a store may have kept a
+        // change from this one as well.
+        this->newer_view_since.reset();
+        return step::confirm;
+    }
+    const bool newer_view = theirs.config_revision == ours.config_revision &&
+                            theirs.as_of >= ours.as_of;
+    if (!newer_view) {
+        return step::none;
+    }
+    return has_waited(this->newer_view_since, now, wait) ? step::fetch
+                                                         : step::none;
+}
+
+} // namespace guavastair::peer
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -44,6 +44,10 @@
 /// Flows that are younger are not remembered in the store.
 constexpr support::duration least_remembered_age = support::milliseconds(1000);
 
+/// Longest watch for the operators' changes: balancers watch more closely and
+/// tell.
+constexpr support::duration view_watch_time = support::seconds(8);
+
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
 
@@ -80,7 +84,7 @@
 public:
     explicit agent(platform::settings chosen)
         : shell(std::move(chosen)), link(shell),
-          view(shell, [this] { this->on_view_changed(); }),
+          view(shell, view_watch_time, [this] { this->on_view_changed(); }),
           registrar(shell, registrar_settings(shell.settings)),
           monitor(monitor_settings(shell.settings), shell.now()),
           owner(owner_settings(shell.settings), shell.now()),
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -39,6 +39,11 @@
 /// A balancer that no agent has mentioned for so long is forgotten.
 constexpr support::duration balancer_lifetime = support::seconds(5);
 
+/// Longest watch for the operators' changes. A store that forgets its history
+/// may keep one from a watch until that ends; the first process to learn of it
+/// tells the others.
+constexpr support::duration view_watch_time = support::seconds(3);
+
 constexpr std::size_t packet_batch = 32;
 constexpr int packet_kernel_buffer = 4 << 20;
 
@@ -60,7 +65,8 @@
 class balancer {
 public:
     explicit balancer(platform::settings chosen)
-        : shell(std::move(chosen)), link(shell), view(shell, [] {}),
+        : shell(std::move(chosen)), link(shell),
+          view(shell, view_watch_time, [] {}),
           agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
           members({}), dispatcher(dispatcher_settings(shell.settings), members,
                                   view.rules()),
@@ -395,7 +401,9 @@
     const bool knows_agents =
         this->any_answer || this->shell.now() - this->started > longest_start;
     return !this->stopping && this->view.rules().has_configuration() &&
-           knows_agents;
+           knows_agents &&
+           steering::reaches_every_service(this->shell.now(), this->members,
+                                           this->view.rules());
 }
 
 void balancer::add_metrics() {
--- a/lib/relay/view_keeper.cpp
+++ b/lib/relay/view_keeper.cpp
@@ -5,20 +5,21 @@
 
 static constexpr absl::string_view view_path = "/view";
 
-/// A view that stays behind a peer's for so long is fetched from the peer: the
-/// store's own word is usually quicker.
-static constexpr support::duration patience = support::milliseconds(300);
 static constexpr support::duration fetch_timeout = support::milliseconds(1000);
 
-static registry::follower_settings follow_operators() {
+static registry::follower_settings
+follow_operators(support::duration watch_time) {
     registry::follower_settings result;
     result.prefix = platform::operator_prefix();
+    result.watch_time = watch_time;
     return result;
 }
 
-view_keeper::view_keeper(process& chosen, std::function<void()> on_change)
+view_keeper::view_keeper(process& chosen, support::duration watch_time,
+                         std::function<void()> on_change)
     : owner(chosen), changed(std::move(on_change)),
-      follower(chosen, follow_operators(), [this] { this->on_store_update(); }),
+      follower(chosen, follow_operators(watch_time),
+               [this] { this->on_store_update(); }),
       server(
           chosen.loop,
           [this](const http::request& ask) { return this->answer_peer(ask); }),
@@ -78,29 +79,20 @@
 
 void view_keeper::on_peer_view(support::endpoint from,
                                const peer::view_summary& theirs) {
-    const peer::view_summary ours = this->summary();
     const support::instant now = this->owner.now();
-    if (theirs.digest == ours.digest) {
-        this->state.confirm(theirs.as_of, now);
-        this->behind_since.reset();
-        return;
-    }
-    const bool newer_configuration =
-        theirs.config_revision > ours.config_revision;
-    const bool newer_view = theirs.config_revision == ours.config_revision &&
-                            theirs.as_of >= ours.as_of;
-    if (!newer_configuration && !newer_view) {
-        return;
-    }
-    if (!this->behind_since.has_value()) {
-        this->behind_since = now;
-    }
     const bool fetches = this->fetching != nullptr && this->fetching->busy();
-    const bool patient =
-        now - *this->behind_since < patience && this->state.has_configuration();
-    if (!fetches && !patient) {
-        this->behind_since = now;
-        this->fetch(from);
+    switch (this->catch_up.on_summary(now, this->summary(), theirs,
+                                      this->state.has_configuration())) {
+    case peer::catch_up::step::confirm:
+        this->state.confirm(theirs.as_of, now);
+        break;
+    case peer::catch_up::step::fetch:
+        if (!fetches) {
+            this->fetch(from);
+        }
+        break;
+    case peer::catch_up::step::none:
+        break;
     }
 }
 
--- a/lib/relay/view_keeper.hpp
+++ b/lib/relay/view_keeper.hpp
@@ -17,8 +17,10 @@
 
 class view_keeper {
 public:
-    /// `on_change` is called whenever the view in force changed.
-    view_keeper(process& chosen, std::function<void()> on_change);
+    /// `watch_time` bounds one watch of the store; `on_change` is called
+    /// whenever the view in force changed.
+    view_keeper(process& chosen, support::duration watch_time,
+                std::function<void()> on_change);
 
     /// Begins to follow the store and to answer peers.
     absl::Status start();
@@ -45,7 +47,7 @@
     follower_driver follower;
     http::server server;
     std::unique_ptr<http::client> fetching;
-    std::optional<support::instant> behind_since;
+    peer::catch_up catch_up;
     support::instant resumed_at;
 };
 
--- a/lib/steering/openings.cpp
+++ b/lib/steering/openings.cpp
@@ -111,6 +111,22 @@
     return chosen;
 }
 
+bool reaches_every_service(support::instant now, const member_table& members,
+                           const routing::routing_state& rules) {
+    const std::vector<routing::service_terms>& services =
+        rules.view().config.services;
+    return std::all_of(services.begin(), services.end(),
+                       [&](const routing::service_terms& service) {
+                           const auto agents = members.members_of(service.name);
+                           return agents.empty() ||
+                                  std::any_of(agents.begin(), agents.end(),
+                                              [&](const member* each) {
+                                                  return members.is_present(
+                                                      now, *each);
+                                              });
+                       });
+}
+
 std::vector<support::endpoint>
 search_order(support::instant now, const opening_settings& settings,
              const member_table& members,
--- a/unittests/steering/dispatcher_test.cpp
+++ b/unittests/steering/dispatcher_test.cpp
@@ -111,8 +111,7 @@
     CHECK(searched.carry == peer::carry_kind::locate);
     CHECK(searched.to.size() == 3);
     CHECK(b.on(data).kind == dispatch_kind::hold);
-    const auto released =
-        b.dispatcher.on_owned(b.now, data.key, agent_at(3));
+    const auto released = b.dispatcher.on_owned(b.now, data.key, agent_at(3));
     REQUIRE(released.size() == 1);
     CHECK(released[0].step.to == std::vector{agent_at(3)});
     CHECK_FALSE(b.dispatcher.searching());
--- a/unittests/steering/fixtures.hpp
+++ b/unittests/steering/fixtures.hpp
@@ -44,11 +44,8 @@
 inline flow::packet packet_of(std::uint16_t port, std::uint8_t flags,
                               std::uint32_t acknowledgement = 0,
                               std::uint16_t size = 0) {
-    return {{{{0x64400001}, port}, address},
-            {flags},
-            500,
-            acknowledgement,
-            size};
+    return {
+        {{{0x64400001}, port}, address}, {flags}, 500, acknowledgement, size};
 }
 
 } // namespace guavastair::steering_test
--- a/unittests/steering/openings_test.cpp
+++ b/unittests/steering/openings_test.cpp
@@ -125,6 +125,25 @@
               .empty());
 }
 
+// Found on npwl-lb, inc-1250: a data centre without a server of the portal was
+// cut off, its balancers stayed ready and turned every order away.
+TEST_CASE("a balancer cut off from all agents of a service says so") {
+    fleet f;
+    auto view = view_of(2);
+    view.config.services.resize(3);
+    view.config.services[0].name = {"portal"};
+    view.config.services[1].name = {"drawings"};
+    view.config.services[2].name = {"nobody's"};
+    f.rules.adopt(view, {1});
+    f.members.on_report({0}, report_of(1, "b"));
+    f.members.on_report({0}, report_of(2, "a", "drawings"));
+    CHECK(steering::reaches_every_service({10}, f.members, f.rules));
+    f.members.on_report({2000}, report_of(2, "a", "drawings"));
+    CHECK_FALSE(steering::reaches_every_service({2000}, f.members, f.rules));
+    f.members.on_report({2100}, report_of(1, "b"));
+    CHECK(steering::reaches_every_service({2100}, f.members, f.rules));
+}
+
 TEST_CASE("a search begins where the opening went") {
     fleet f;
     for (std::uint32_t i = 1; i <= 12; ++i) {
@@ -132,8 +151,8 @@
     }
     for (std::uint64_t i = 0; i < 300; ++i) {
         const std::vector<support::service_name> services{{"portal"}};
-        const auto order = steering::search_order(
-            {10}, f.settings, f.members, services, hash_of(i));
+        const auto order = steering::search_order({10}, f.settings, f.members,
+                                                  services, hash_of(i));
         CHECK(order.size() == 12);
         const auto opened = f.choose(hash_of(i))[0];
         const auto place =
