Drop openings while the agents of their service start

Change: agents report that they are starting; while one of a service does, an opening is dropped and the caller's copy after 200 ms finds it ready.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -219,6 +219,9 @@
 
 absl::string_view to_string(gate_reason reason);
 
+/// Whether what keeps the gate shut passes within a caller's next try.
+bool is_starting(gate_reason reason);
+
 struct gate_state {
     gate_answer answer = gate_answer::refuse;
     gate_reason reason = gate_reason::open;
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -71,6 +71,8 @@
     server_condition condition = server_condition::unknown;
     /// Whether an opening packet would be taken now.
     bool takes_openings = false;
+    /// Not yet, but as soon as the agent knows what it needs to know.
+    bool starting = false;
     /// Openings that a cold server still bears in this second; the largest
     /// value if it is warm.
     std::uint32_t opening_budget = UINT32_MAX;
--- a/lib/ownership/gate.cpp
+++ b/lib/ownership/gate.cpp
@@ -51,6 +51,13 @@
     return std::nullopt;
 }
 
+bool is_starting(gate_reason reason) {
+    return reason == gate_reason::no_configuration ||
+           reason == gate_reason::unconfirmed ||
+           reason == gate_reason::unregistered ||
+           reason == gate_reason::server_unknown;
+}
+
 gate_state judge_opening(const gate_inputs& inputs) {
     gate_state result;
     result.request_timeout = inputs.request_timeout;
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -46,14 +46,6 @@
     return basis_names[static_cast<std::size_t>(why)];
 }
 
-/// Whether what keeps the gate shut passes within a caller's next try.
-static bool is_starting(gate_reason reason) {
-    return reason == gate_reason::no_configuration ||
-           reason == gate_reason::unconfirmed ||
-           reason == gate_reason::unregistered ||
-           reason == gate_reason::server_unknown;
-}
-
 namespace {
 
 enum class stage : std::uint8_t {
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -90,6 +90,7 @@
     to.setFlows(from.load.flows);
     to.setRun(from.run);
     to.setRestarting(from.restarting);
+    to.setStarting(from.starting);
 }
 
 static void write_body(schema::Message::Builder root, const pong& body) {
@@ -207,6 +208,7 @@
                         report.getMeanInProgress(), report.getFlows()};
     body.report.run = report.getRun();
     body.report.restarting = report.getRestarting();
+    body.report.starting = report.getStarting();
     if (!read_list(from.getBalancers(), body.balancers)) {
         return malformed("too many balancers");
     }
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -27,6 +27,7 @@
   flows @9 :UInt32;
   run @10 :UInt64;
   restarting @11 :Bool;
+  starting @12 :Bool;
 }
 
 struct Ping {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -419,6 +419,8 @@
 
   inline bool getRestarting() const;
 
+  inline bool getStarting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -491,6 +493,9 @@
   inline bool getRestarting();
   inline void setRestarting(bool value);
 
+  inline bool getStarting();
+  inline void setStarting(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1620,6 +1625,20 @@
       ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::getStarting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getStarting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setStarting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Ping::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -508,8 +508,9 @@
     result.data_centre = this->shell.settings.data_centre;
     result.condition = this->monitor.condition();
     const ownership::gate_inputs inputs = this->gate_inputs();
-    result.takes_openings = ownership::judge_opening(inputs).answer !=
-                            ownership::gate_answer::refuse;
+    const ownership::gate_state state = ownership::judge_opening(inputs);
+    result.takes_openings = state.answer != ownership::gate_answer::refuse;
+    result.starting = ownership::is_starting(state.reason);
     result.opening_budget = inputs.openings_left;
     result.load = inputs.load;
     result.run = this->run_id;
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -83,6 +83,8 @@
     dispatch open(support::instant now, const flow::packet& packet);
     dispatch offer(support::instant now, const routing::route& target,
                    std::uint64_t hash);
+    bool is_starting(support::instant now,
+                     const support::service_name* service) const;
     dispatch begin_search(support::instant now, const flow::flow_key& key,
                           std::span<const std::byte> packet,
                           std::optional<support::endpoint> excluded);
@@ -104,6 +106,21 @@
     bool members_complete = false;
 };
 
+/// Whether an agent of `service` will take openings soon.
+bool dispatcher::implementation::is_starting(
+    support::instant now, const support::service_name* service) const {
+    if (this->members.size() == 0) {
+        return true;
+    }
+    if (service == nullptr) {
+        return false;
+    }
+    const auto agents = this->members.members_of(*service);
+    return std::any_of(agents.begin(), agents.end(), [&](const member* each) {
+        return this->members.is_present(now, *each) && each->report.starting;
+    });
+}
+
 dispatch dispatcher::implementation::offer(support::instant now,
                                            const routing::route& target,
                                            std::uint64_t hash) {
@@ -115,7 +132,8 @@
                                 this->rules, *service, hash);
     }
     if (chosen.empty()) {
-        return this->members.size() == 0
+        // The caller sends its opening packet again soon.
+        return this->is_starting(now, service)
                    ? refuse(dispatch_kind::drop, dispatch_basis::starting)
                    : refuse(dispatch_kind::reset, dispatch_basis::no_candidate);
     }
--- a/unittests/peer/codec_test.cpp
+++ b/unittests/peer/codec_test.cpp
@@ -73,6 +73,7 @@
         pong.report.opening_budget = *rc::gen::arbitrary<std::uint32_t>();
         pong.report.load = {3, 4, 5'000, 6};
         pong.report.run = *rc::gen::arbitrary<std::uint64_t>();
+        pong.report.starting = *rc::gen::arbitrary<bool>();
         pong.report.restarting = *rc::gen::arbitrary<bool>();
         const encoded second = encode(pong);
         const auto again = peer::decode(second.view());
--- a/unittests/steering/dispatcher_test.cpp
+++ b/unittests/steering/dispatcher_test.cpp
@@ -87,6 +87,21 @@
     CHECK(b.on(opening).basis == dispatch_basis::starting);
 }
 
+// Found on npwl-lb, scale-1: after all processes were killed 26 downloads were
+// reset while their agents were just starting.
+TEST_CASE("while the agents of a service start its openings are dropped") {
+    balancer b(0);
+    auto starting = report_of(1);
+    starting.takes_openings = false;
+    starting.starting = true;
+    b.members.on_report({0}, starting);
+    CHECK(b.on(opening).kind == dispatch_kind::drop);
+    CHECK(b.on(opening).basis == dispatch_basis::starting);
+    starting.starting = false;
+    b.members.on_report({0}, starting);
+    CHECK(b.on(opening).kind == dispatch_kind::reset);
+}
+
 TEST_CASE("an opening that no agent can take is reset at once") {
     balancer b(0);
     auto full = report_of(1);
