Split the agent and the balancer by job

Change: the classes have headers of their own; packets, peers and the server's side are files; the name tables of ownership too. No behaviour changed. Ruled out: nothing.

--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -4,7 +4,6 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
-#include <array>
 
 namespace guavastair::ownership {
 
@@ -19,33 +18,6 @@
 /// its flow may be: a caller's whole window and more.
 static constexpr std::uint32_t max_first_acknowledgement = 1U << 20;
 
-static constexpr std::array<absl::string_view, gate_reason_count> reason_names{
-    "open",     "no_configuration", "unconfirmed", "unregistered",
-    "no_route", "foreign_service",  "withdrawn",   "server_unknown",
-    "draining", "silent",           "gone",        "cold",
-    "busy",     "full_for_now",     "full"};
-
-static constexpr std::array<absl::string_view, 5> action_names{
-    "deliver", "pass_on", "answer_absent", "reset", "drop"};
-
-static constexpr std::array<absl::string_view, 11> basis_names{
-    "owned",      "opened",           "repeated_opening",
-    "passed",     "turned_away",      "asked_server",
-    "not_here",   "lost_with_server", "returned_by_server",
-    "table_full", "starting"};
-
-absl::string_view to_string(gate_reason reason) {
-    return reason_names[static_cast<std::size_t>(reason)];
-}
-
-absl::string_view to_string(action_kind kind) {
-    return action_names[static_cast<std::size_t>(kind)];
-}
-
-absl::string_view to_string(basis why) {
-    return basis_names[static_cast<std::size_t>(why)];
-}
-
 namespace {
 
 enum class stage : std::uint8_t {
--- /dev/null
+++ b/lib/relay/agent_packets.cpp
@@ -0,0 +1,259 @@
+#include "agent.hpp"
+#include "packet.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace guavastair::relay {
+
+namespace {
+
+/// An agent that was never listed, because the store refuses it, takes flows
+/// after this: all balancers know it by their peers.
+constexpr support::duration introduction_time = support::seconds(8);
+
+} // namespace
+
+std::uint32_t agent::cold_limit() const {
+    const platform::settings& settings = this->shell.settings;
+    const routing::service_terms* terms =
+        this->view.rules().find_service(settings.service);
+    return ownership::opening_budget::limit(
+        terms == nullptr ? 0.0 : terms->warm_up_rate, settings.cold_factor,
+        settings.cold_slack);
+}
+
+/// What decides about an opening on any route to this service.
+ownership::gate_inputs agent::gate_inputs() {
+    const routing::routing_state& rules = this->view.rules();
+    const support::instant now = this->shell.now();
+    ownership::gate_inputs inputs;
+    inputs.has_configuration = rules.has_configuration();
+    inputs.is_view_confirmed = this->view.is_confirmed();
+    inputs.is_known = this->is_known();
+    inputs.has_route = true;
+    inputs.leads_here = true;
+    inputs.is_withdrawn = rules.is_withdrawn(this->shell.settings.data_centre);
+    inputs.condition = this->monitor.condition();
+    if (this->monitor.is_cold(now)) {
+        inputs.openings_left = this->budget.left(now, this->cold_limit());
+    }
+    inputs.load = this->load();
+    return inputs;
+}
+
+ownership::gate_state agent::gate(support::endpoint service_address) {
+    const routing::routing_state& rules = this->view.rules();
+    const routing::route* target = rules.find_route(service_address);
+    ownership::gate_inputs inputs = this->gate_inputs();
+    inputs.has_route = target != nullptr;
+    inputs.leads_here =
+        rules.leads_to(service_address, this->shell.settings.service);
+    if (target != nullptr) {
+        inputs.how_urgent = this->urgency_of(*target);
+        inputs.request_timeout = target->timeout;
+    }
+    return ownership::judge_opening(inputs);
+}
+
+peer::load_report agent::load() const {
+    peer::load_report result = this->owner.load();
+    result.slots = this->monitor.slots();
+    return result;
+}
+
+/// Requests that may not be repeated come first; of the others those whose
+/// route no other route to this service outranks.
+ownership::urgency agent::urgency_of(const routing::route& wanted) const {
+    if (wanted.kind == routing::request_kind::non_idempotent) {
+        return ownership::urgency::highest;
+    }
+    const routing::routing_state& rules = this->view.rules();
+    for (const routing::route& each : rules.view().config.routes) {
+        const bool outranks =
+            each.priority < wanted.priority &&
+            rules.leads_to(each.address, this->shell.settings.service);
+        if (outranks) {
+            return ownership::urgency::lower;
+        }
+    }
+    return ownership::urgency::highest;
+}
+
+bool agent::is_known() const {
+    return this->is_listed || this->registrar.is_settled() ||
+           this->shell.now() - this->started > introduction_time;
+}
+
+void agent::reset(const flow::flow_key& key, std::uint32_t sequence) {
+    const support::endpoint caller{key.caller.address,
+                                   this->shell.settings.packets.port};
+    this->outbound->queue_copy(caller, platform::make_reset(key, sequence));
+}
+
+void agent::deliver(std::span<const std::byte> bytes,
+                    const flow::packet& packet) {
+    if (packet.flags.syn() || packet.payload_size > 0) {
+        this->monitor.on_delivered(this->shell.now());
+    }
+    this->outbound->queue_copy(this->shell.settings.server, bytes);
+}
+
+void agent::log_action(const ownership::action& decided,
+                       const flow::packet& packet,
+                       const ownership::gate_state* gate) {
+    this->decisions.count(ownership::to_string(decided.kind),
+                          ownership::to_string(decided.why));
+    if (gate != nullptr) {
+        this->gates.count(decided.why == ownership::basis::opened ? "taken"
+                                                                  : "declined",
+                          ownership::to_string(gate->reason));
+    }
+    // Answers to searches and questions to the server are counted only: many
+    // agents give them for one packet.
+    const bool is_routine = decided.why == ownership::basis::owned ||
+                            decided.why == ownership::basis::asked_server ||
+                            decided.why == ownership::basis::not_here;
+    if (is_routine) {
+        return;
+    }
+    logging::line line("flow");
+    line.add("caller", packet.key.caller)
+        .add("service", packet.key.service)
+        .add("outcome", ownership::to_string(decided.kind))
+        .add("basis", ownership::to_string(decided.why))
+        .add("balancer", decided.balancer)
+        .add("condition", peer::to_string(this->monitor.condition()))
+        .add("version", this->view.rules().view().config.version);
+    if (gate != nullptr) {
+        line.add("gate", ownership::to_string(gate->reason))
+            .add("in_progress", this->owner.load().in_progress);
+    }
+    if (decided.kind == ownership::action_kind::pass_on) {
+        line.add("next", decided.next);
+    }
+    this->shell.log(logging::level::info, "flow", line);
+}
+
+void agent::carry_out(const ownership::action& decided,
+                      const flow::packet& packet,
+                      std::span<const std::byte> bytes) {
+    using ownership::action_kind;
+    const support::endpoint self = this->shell.settings.peers;
+    const bool lost = decided.why == ownership::basis::lost_with_server;
+    if (decided.tell_owned) {
+        this->link.send(decided.balancer, peer::owned{packet.key, self});
+    }
+    switch (decided.kind) {
+    case action_kind::deliver:
+        this->deliver(bytes, packet);
+        break;
+    case action_kind::pass_on: {
+        peer::carry body;
+        body.kind = peer::carry_kind::open;
+        body.balancer = decided.balancer;
+        body.candidates = decided.candidates;
+        body.packet = bytes;
+        this->link.send(decided.next, body);
+        break;
+    }
+    case action_kind::answer_absent: {
+        peer::absent body;
+        body.key = packet.key;
+        body.agent = self;
+        body.certain = decided.certain;
+        if (decided.give_back) {
+            body.packet = bytes;
+        }
+        this->link.send(decided.balancer, body);
+        break;
+    }
+    case action_kind::reset:
+        this->reset(packet.key, packet.acknowledgement);
+        if (lost) {
+            peer::absent body;
+            body.key = packet.key;
+            body.agent = self;
+            body.lost = true;
+            this->link.send(decided.balancer, body);
+        }
+        break;
+    case action_kind::drop:
+        break;
+    }
+}
+
+void agent::on_body(support::endpoint from, const peer::carry& body) {
+    const auto packet =
+        platform::parse_packet(body.packet, platform::packet_writer::caller);
+    if (!packet.has_value()) {
+        return;
+    }
+    const support::instant now = this->shell.now();
+    if (body.kind == peer::carry_kind::open) {
+        const ownership::gate_state gate = this->gate(packet->head.key.service);
+        const bool was_passed = from != body.balancer;
+        const ownership::action decided =
+            this->owner.on_opening(now, packet->head, gate, body.balancer,
+                                   body.candidates, was_passed);
+        if (decided.why == ownership::basis::opened) {
+            this->budget.spend(now);
+        }
+        this->log_action(decided, packet->head, &gate);
+        this->carry_out(decided, packet->head, body.packet);
+        return;
+    }
+    const bool locating = body.kind == peer::carry_kind::locate;
+    ownership::action decided =
+        this->owner.on_packet(now, packet->head, body.balancer, locating);
+    decided.balancer = body.balancer;
+    this->log_action(decided, packet->head, nullptr);
+    this->carry_out(decided, packet->head, body.packet);
+}
+
+void agent::receive_server_packets() {
+    while (true) {
+        const std::span<const net::datagram> batch = this->outbound->receive();
+        if (batch.empty()) {
+            return;
+        }
+        for (const net::datagram& each : batch) {
+            this->on_server_datagram(each.payload);
+        }
+    }
+}
+
+void agent::on_server_datagram(std::span<const std::byte> bytes) {
+    const auto packet =
+        platform::parse_packet(bytes, platform::packet_writer::server);
+    if (!packet.has_value()) {
+        return;
+    }
+    const support::instant now = this->shell.now();
+    this->monitor.on_server_packet(now);
+    if (!packet->returned) {
+        const auto waited = this->owner.on_server_packet(now, packet->head);
+        if (waited.has_value()) {
+            constexpr double ms_per_second = 1000.0;
+            this->answer_times.record(static_cast<double>(waited->ms) /
+                                      ms_per_second);
+        }
+        this->ledger.on_server_packet(packet->head.key);
+        const support::endpoint caller{packet->head.key.caller.address,
+                                       this->shell.settings.packets.port};
+        this->outbound->queue(caller, {}, bytes);
+        return;
+    }
+    std::array<std::byte, platform::max_packet_size> restored;
+    std::copy(bytes.begin(), bytes.end(), restored.begin());
+    const std::span<std::byte> whole = std::span(restored).first(bytes.size());
+    platform::restore_packet(whole);
+    const ownership::action decided =
+        this->owner.on_returned(now, packet->head);
+    this->reset_flows(this->ledger.on_returned(now, packet->head.key),
+                      "returned_by_server");
+    this->log_action(decided, packet->head, nullptr);
+    this->carry_out(decided, packet->head, whole);
+}
+
+} // namespace guavastair::relay
--- /dev/null
+++ b/lib/relay/agent_server.cpp
@@ -0,0 +1,192 @@
+#include "agent.hpp"
+#include "operator_documents.hpp"
+
+namespace guavastair::relay {
+
+namespace {
+
+constexpr support::duration tick_interval = support::milliseconds(100);
+constexpr support::duration probe_timeout = support::milliseconds(400);
+
+/// For so long after its start an agent asks the store which flows its server
+/// held, and how often.
+constexpr support::duration recall_time = support::seconds(5);
+constexpr support::duration recall_pause = support::milliseconds(200);
+
+/// Flows that are younger are not remembered in the store.
+constexpr support::duration least_remembered_age = support::milliseconds(1000);
+
+} // namespace
+
+void agent::note_condition(absl::string_view cause) {
+    const peer::server_condition present = this->monitor.condition();
+    if (present == this->noted) {
+        return;
+    }
+    logging::line line("server_condition");
+    line.add("before", peer::to_string(this->noted))
+        .add("after", peer::to_string(present))
+        .add("cause", cause);
+    const auto& last = this->monitor.last_report();
+    if (last.has_value()) {
+        line.add("server", last->id)
+            .add("born", last->born)
+            .add("sequence", last->sequence)
+            .add("warm_up_left_ms", last->warm_up_left.ms);
+    }
+    this->shell.log(logging::level::info, "server_condition", line);
+    const bool lost = present == peer::server_condition::gone;
+    this->noted = present;
+    if (lost) {
+        this->shell.loop.call_after(leave_time, [this] {
+            if (this->monitor.condition() == peer::server_condition::gone) {
+                this->drop_flows();
+            }
+        });
+    }
+}
+
+void agent::reset_flows(const std::vector<peer::listed_flow>& flows,
+                        absl::string_view cause) {
+    if (flows.empty()) {
+        return;
+    }
+    logging::line line("flows_lost");
+    line.add("count", flows.size()).add("cause", cause);
+    this->shell.log(logging::level::warn, "flows_lost", line);
+    for (const peer::listed_flow& each : flows) {
+        this->reset(each.key, each.acknowledged);
+    }
+}
+
+void agent::drop_flows() {
+    this->reset_flows(this->owner.on_server_lost(this->shell.now()),
+                      "server_lost");
+}
+
+/// Reads which flows the server held before this process started.
+void agent::recall_flows() {
+    const std::string key = platform::flows_key(this->shell.settings.peers);
+    this->ledger_reader.list(
+        key, "", [this, key](const absl::StatusOr<registry::page>& got) {
+            if (!got.ok()) {
+                if (this->shell.now() - this->started < recall_time) {
+                    this->shell.loop.call_after(
+                        recall_pause, [this] { this->recall_flows(); });
+                }
+                return;
+            }
+            for (const registry::entry& each : got->entries) {
+                auto list = peer::decode_flow_list(each.value);
+                if (each.key != key || !list.ok()) {
+                    continue;
+                }
+                logging::line line("flows_recalled");
+                line.add("count", list->flows.size())
+                    .add("server", list->server_id)
+                    .add("born", list->server_born)
+                    .add("revision", each.modified.value);
+                this->shell.log(logging::level::info, "flows_recalled", line);
+                this->ledger.on_recalled(this->shell.now(), *std::move(list));
+            }
+        });
+}
+
+void agent::remember_flows() {
+    const support::instant now = this->shell.now();
+    const auto list = this->ledger.next_write(
+        now, this->owner.open_flows(now, least_remembered_age),
+        this->monitor.last_report());
+    if (list.has_value()) {
+        this->ledger_writer.set_wanted(peer::encode_flow_list(*list));
+    }
+}
+
+http::response agent::on_call(const platform::status_call& call) {
+    if (call.service != this->shell.settings.service ||
+        call.server != this->shell.settings.server) {
+        logging::line line("report_refused");
+        line.add("server", call.report.id)
+            .add("of", call.service)
+            .add("at", call.server)
+            .add("why", "another server's");
+        this->shell.log(logging::level::warn, "report_refused", line);
+        return platform::refusal(
+            support::make_error(support::error_kind::revision_conflict,
+                                "the report is of another server"));
+    }
+    const support::instant now = this->shell.now();
+    const ownership::report_effect effect =
+        this->monitor.on_report(now, call.report);
+    this->reset_flows(this->ledger.on_report(now, call.report),
+                      "server_restarted");
+    if (effect == ownership::report_effect::restarted) {
+        this->drop_flows();
+        this->owner.set_complete();
+    }
+    this->note_condition("report");
+    this->publish();
+    return platform::confirmation();
+}
+
+http::response agent::on_call(const platform::leave_call& call) {
+    const auto& last = this->monitor.last_report();
+    if (last.has_value() && last->id == call.id) {
+        this->monitor.on_left(this->shell.now());
+        this->note_condition("left");
+    }
+    return platform::confirmation();
+}
+
+http::response agent::on_call(const platform::readiness_call& /*call*/) {
+    return platform::readiness(!this->stopping);
+}
+
+http::response agent::answer(const http::request& ask) {
+    if (ask.target == metrics_path) {
+        return metrics_answer(this->page);
+    }
+    const auto call = platform::read_control_call(ask);
+    if (!call.ok()) {
+        logging::line line("call_refused");
+        line.add("target", ask.target).add("why", call.status().message());
+        this->shell.log(logging::level::warn, "call_refused", line);
+        return platform::refusal(call.status());
+    }
+    return std::visit([this](const auto& each) { return this->on_call(each); },
+                      *call);
+}
+
+void agent::start_probe() {
+    if (this->probe.busy() || !this->monitor.start_probe(this->shell.now())) {
+        return;
+    }
+    this->probe.start(
+        this->shell.settings.server, probe_timeout,
+        [this](http::connect_probe::answer found) { this->on_probe(found); });
+}
+
+void agent::on_probe(http::connect_probe::answer found) {
+    const support::instant now = this->shell.now();
+    const bool before_first = !this->monitor.last_report().has_value();
+    switch (found) {
+    case http::connect_probe::answer::accepted:
+        this->monitor.on_probe_accepted(now);
+        break;
+    case http::connect_probe::answer::refused:
+        this->monitor.on_probe_refused(now);
+        if (before_first) {
+            // The server is not up yet: nothing opened there before.
+            this->owner.set_complete();
+            this->reset_flows(this->ledger.on_server_absent(now),
+                              "server_not_up");
+        }
+        break;
+    case http::connect_probe::answer::silent:
+        this->monitor.on_probe_silent(now);
+        break;
+    }
+    this->note_condition("probe");
+}
+
+} // namespace guavastair::relay
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -1,17 +1,13 @@
-#include "metrics_page.hpp"
+#include "balancer.hpp"
 #include "operator_documents.hpp"
 #include "packet.hpp"
-#include "process.hpp"
 #include "server_report.hpp"
-#include "store_drivers.hpp"
-#include "view_keeper.hpp"
 
 #include <guavastair/relay.hpp>
-#include <guavastair/steering.hpp>
 
 #include <algorithm>
-#include <map>
-#include <set>
+#include <array>
+#include <cstring>
 
 namespace guavastair::relay {
 
@@ -44,9 +40,6 @@
 /// tells the others.
 constexpr support::duration view_watch_time = support::seconds(3);
 
-constexpr std::size_t packet_batch = 32;
-constexpr int packet_kernel_buffer = 4 << 20;
-
 registry::follower_settings follow_agents() {
     registry::follower_settings result;
     result.prefix = platform::agent_prefix();
@@ -61,186 +54,16 @@
     return result;
 }
 
-/// One balancer.
-class balancer {
-public:
-    explicit balancer(platform::settings chosen)
-        : shell(std::move(chosen)), link(shell),
-          view(shell, view_watch_time, [] {}),
-          agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
-          members({}), dispatcher(dispatcher_settings(shell.settings), members,
-                                  view.rules()),
-          control(shell.loop, [this](const http::request& ask) {
-              return this->answer(ask);
-          }) {}
-
-    absl::Status run();
-
-private:
-    absl::Status open_packets();
-    void receive_packets();
-    void on_caller_packet(std::span<const std::byte> bytes);
-    void carry_out(const steering::dispatch& decided, const flow::flow_key& key,
-                   std::span<const std::byte> bytes);
-    void reset(std::span<const std::byte> bytes);
-    void carry_out_all(const std::vector<steering::released>& released);
-    void log_dispatch(const steering::dispatch& decided,
-                      const flow::flow_key& key);
-
-    void on_message(support::endpoint from, const peer::message& body);
-    void on_body(support::endpoint from, const peer::ping& body);
-    void on_body(support::endpoint from, const peer::pong& body);
-    void on_body(support::endpoint from, const peer::carry& body);
-    void on_body(support::endpoint from, const peer::owned& body);
-    void on_body(support::endpoint from, const peer::absent& body);
-
-    void on_agents_listed();
-    void ping_members();
-    peer::listing listing_of(support::endpoint agent) const;
-    void tick_searches();
-    void schedule_search_tick();
-    void note_presence();
-    void give_up_lost();
-    void add_metrics();
-    http::response answer(const http::request& ask);
-    bool is_ready() const;
-    bool knows_all_agents() const;
-    void stop();
-
-    process shell;
-    peer_link link;
-    view_keeper view;
-    follower_driver agents;
-    steering::member_table members;
-    steering::dispatcher dispatcher;
-    http::server control;
-    metrics::registry page;
-    decision_counters decisions{page, "guavastair_dispatches_total",
-                                "Decisions about callers' packets."};
-    std::unique_ptr<net::udp_socket> packets;
-    std::map<support::endpoint, support::instant> balancers;
-    std::map<support::endpoint, bool> presence;
-    std::set<support::endpoint> given_up;
-    std::uint32_t ping_sequence = 0;
-    bool search_tick_set = false;
-    bool any_answer = false;
-    bool stopping = false;
-    support::instant started;
-    /// When the process last began or went on after standing still.
-    support::instant awake_since;
-};
-
-absl::Status balancer::open_packets() {
-    net::udp_options options;
-    options.local = this->shell.settings.packets;
-    options.batch = packet_batch;
-    options.kernel_buffer_size = packet_kernel_buffer;
-    auto opened = net::udp_socket::open(options);
-    if (!opened.ok()) {
-        return opened.status();
-    }
-    this->packets = std::make_unique<net::udp_socket>(*std::move(opened));
-    this->shell.loop.call_each_round([this] { this->packets->flush(); });
-    return this->shell.loop.watch(
-        this->packets->descriptor(), {.readable = true},
-        [this](net::readiness) { this->receive_packets(); });
-}
-
-void balancer::receive_packets() {
-    while (true) {
-        const std::span<const net::datagram> batch = this->packets->receive();
-        if (batch.empty()) {
-            return;
-        }
-        for (const net::datagram& each : batch) {
-            this->on_caller_packet(each.payload);
-        }
-    }
-}
-
-void balancer::on_caller_packet(std::span<const std::byte> bytes) {
-    const auto packet =
-        platform::parse_packet(bytes, platform::packet_writer::caller);
-    if (!packet.has_value()) {
-        return;
-    }
-    const steering::dispatch decided =
-        this->dispatcher.on_packet(this->shell.now(), packet->head, bytes);
-    this->carry_out(decided, packet->head.key, bytes);
-}
-
-/// Resets the flow of the caller's packet `bytes`.
-void balancer::reset(std::span<const std::byte> bytes) {
-    const auto packet =
-        platform::parse_packet(bytes, platform::packet_writer::caller);
-    if (!packet.has_value()) {
-        return;
-    }
-    const flow::packet& head = packet->head;
-    const support::endpoint caller{head.key.caller.address,
-                                   this->shell.settings.packets.port};
-    this->packets->queue_copy(
-        caller, platform::make_reset(head.key, head.acknowledgement));
-}
-
-void balancer::log_dispatch(const steering::dispatch& decided,
-                            const flow::flow_key& key) {
-    if (decided.basis == steering::dispatch_basis::located ||
-        decided.basis == steering::dispatch_basis::held) {
-        return;
-    }
-    logging::line line("dispatch");
-    line.add("caller", key.caller)
-        .add("service", key.service)
-        .add("outcome", steering::to_string(decided.kind))
-        .add("basis", steering::to_string(decided.basis))
-        .add("version", this->view.rules().view().config.version)
-        .add("view_age_ms",
-             (this->shell.now() - this->view.rules().confirmed_at()).ms);
-    for (const support::endpoint agent : decided.to) {
-        line.add("to", agent);
-    }
-    this->shell.log(logging::level::info, "dispatch", line);
-}
-
-void balancer::carry_out(const steering::dispatch& decided,
-                         const flow::flow_key& key,
-                         std::span<const std::byte> bytes) {
-    this->decisions.count(steering::to_string(decided.kind),
-                          steering::to_string(decided.basis));
-    this->log_dispatch(decided, key);
-    if (decided.kind == steering::dispatch_kind::reset) {
-        this->reset(bytes);
-    }
-    if (decided.kind == steering::dispatch_kind::send) {
-        peer::carry body;
-        body.kind = decided.carry;
-        body.balancer = this->shell.settings.peers;
-        body.candidates = decided.candidates;
-        body.packet = bytes;
-        for (const support::endpoint agent : decided.to) {
-            this->link.send(agent, body);
-        }
-    }
-    this->schedule_search_tick();
-}
-
-void balancer::carry_out_all(const std::vector<steering::released>& released) {
-    for (const steering::released& each : released) {
-        this->carry_out(each.step, each.key, each.packet);
-    }
-}
+} // namespace
 
-void balancer::schedule_search_tick() {
-    if (this->search_tick_set || !this->dispatcher.searching()) {
-        return;
-    }
-    this->search_tick_set = true;
-    this->shell.loop.call_after(search_tick, [this] {
-        this->search_tick_set = false;
-        this->tick_searches();
-    });
-}
+balancer::balancer(platform::settings chosen)
+    : shell(std::move(chosen)), link(shell),
+      view(shell, view_watch_time, [] {}),
+      agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
+      members({}),
+      dispatcher(dispatcher_settings(shell.settings), members, view.rules()),
+      control(shell.loop,
+              [this](const http::request& ask) { return this->answer(ask); }) {}
 
 /// Whether the store's list of agents is known to be whole. An agent takes no
 /// flow before it is in that list.
@@ -250,48 +73,6 @@
            this->shell.now() - listed <= list_lifetime;
 }
 
-void balancer::tick_searches() {
-    this->dispatcher.set_members_complete(this->knows_all_agents());
-    this->carry_out_all(this->dispatcher.tick(this->shell.now()));
-    this->schedule_search_tick();
-}
-
-void balancer::on_message(support::endpoint from, const peer::message& body) {
-    std::visit([&](const auto& each) { this->on_body(from, each); }, body);
-}
-
-void balancer::on_body(support::endpoint from, const peer::ping& body) {
-    // Another balancer took this address for an agent's.
-    this->view.on_peer_view(from, body.view);
-}
-
-void balancer::on_body(support::endpoint from, const peer::carry& /*body*/) {
-    logging::line line("unexpected_carry");
-    line.add("from", from);
-    this->shell.log(logging::level::warn, "unexpected_carry", line);
-}
-
-void balancer::on_body(support::endpoint from, const peer::pong& body) {
-    const support::instant now = this->shell.now();
-    this->any_answer = true;
-    this->members.on_report(now, body.report);
-    this->view.on_peer_view(from, body.view);
-    for (const support::endpoint other : body.balancers) {
-        if (other != this->shell.settings.peers) {
-            this->balancers[other] = now;
-        }
-    }
-}
-
-void balancer::on_body(support::endpoint /*from*/, const peer::owned& body) {
-    this->carry_out_all(
-        this->dispatcher.on_owned(this->shell.now(), body.key, body.agent));
-}
-
-void balancer::on_body(support::endpoint /*from*/, const peer::absent& body) {
-    this->carry_out_all(this->dispatcher.on_absent(this->shell.now(), body));
-}
-
 void balancer::on_agents_listed() {
     std::vector<peer::agent_report> listed;
     for (const auto& [key, each] : this->agents.state().entries()) {
@@ -514,8 +295,6 @@
     return absl::OkStatus();
 }
 
-} // namespace
-
 absl::Status run_balancer() {
     auto settings = platform::load_settings();
     if (!settings.ok()) {
--- /dev/null
+++ b/lib/relay/balancer_packets.cpp
@@ -0,0 +1,171 @@
+#include "balancer.hpp"
+#include "packet.hpp"
+
+namespace guavastair::relay {
+
+namespace {
+
+constexpr support::duration ping_tick = support::milliseconds(50);
+constexpr support::duration search_tick = support::milliseconds(10);
+constexpr support::duration slow_tick = support::seconds(1);
+
+constexpr std::size_t packet_batch = 32;
+constexpr int packet_kernel_buffer = 4 << 20;
+
+} // namespace
+
+absl::Status balancer::open_packets() {
+    net::udp_options options;
+    options.local = this->shell.settings.packets;
+    options.batch = packet_batch;
+    options.kernel_buffer_size = packet_kernel_buffer;
+    auto opened = net::udp_socket::open(options);
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    this->packets = std::make_unique<net::udp_socket>(*std::move(opened));
+    this->shell.loop.call_each_round([this] { this->packets->flush(); });
+    return this->shell.loop.watch(
+        this->packets->descriptor(), {.readable = true},
+        [this](net::readiness) { this->receive_packets(); });
+}
+
+void balancer::receive_packets() {
+    while (true) {
+        const std::span<const net::datagram> batch = this->packets->receive();
+        if (batch.empty()) {
+            return;
+        }
+        for (const net::datagram& each : batch) {
+            this->on_caller_packet(each.payload);
+        }
+    }
+}
+
+void balancer::on_caller_packet(std::span<const std::byte> bytes) {
+    const auto packet =
+        platform::parse_packet(bytes, platform::packet_writer::caller);
+    if (!packet.has_value()) {
+        return;
+    }
+    const steering::dispatch decided =
+        this->dispatcher.on_packet(this->shell.now(), packet->head, bytes);
+    this->carry_out(decided, packet->head.key, bytes);
+}
+
+/// Resets the flow of the caller's packet `bytes`.
+void balancer::reset(std::span<const std::byte> bytes) {
+    const auto packet =
+        platform::parse_packet(bytes, platform::packet_writer::caller);
+    if (!packet.has_value()) {
+        return;
+    }
+    const flow::packet& head = packet->head;
+    const support::endpoint caller{head.key.caller.address,
+                                   this->shell.settings.packets.port};
+    this->packets->queue_copy(
+        caller, platform::make_reset(head.key, head.acknowledgement));
+}
+
+void balancer::log_dispatch(const steering::dispatch& decided,
+                            const flow::flow_key& key) {
+    if (decided.basis == steering::dispatch_basis::located ||
+        decided.basis == steering::dispatch_basis::held) {
+        return;
+    }
+    logging::line line("dispatch");
+    line.add("caller", key.caller)
+        .add("service", key.service)
+        .add("outcome", steering::to_string(decided.kind))
+        .add("basis", steering::to_string(decided.basis))
+        .add("version", this->view.rules().view().config.version)
+        .add("view_age_ms",
+             (this->shell.now() - this->view.rules().confirmed_at()).ms);
+    for (const support::endpoint agent : decided.to) {
+        line.add("to", agent);
+    }
+    this->shell.log(logging::level::info, "dispatch", line);
+}
+
+void balancer::carry_out(const steering::dispatch& decided,
+                         const flow::flow_key& key,
+                         std::span<const std::byte> bytes) {
+    this->decisions.count(steering::to_string(decided.kind),
+                          steering::to_string(decided.basis));
+    this->log_dispatch(decided, key);
+    if (decided.kind == steering::dispatch_kind::reset) {
+        this->reset(bytes);
+    }
+    if (decided.kind == steering::dispatch_kind::send) {
+        peer::carry body;
+        body.kind = decided.carry;
+        body.balancer = this->shell.settings.peers;
+        body.candidates = decided.candidates;
+        body.packet = bytes;
+        for (const support::endpoint agent : decided.to) {
+            this->link.send(agent, body);
+        }
+    }
+    this->schedule_search_tick();
+}
+
+void balancer::carry_out_all(const std::vector<steering::released>& released) {
+    for (const steering::released& each : released) {
+        this->carry_out(each.step, each.key, each.packet);
+    }
+}
+
+void balancer::schedule_search_tick() {
+    if (this->search_tick_set || !this->dispatcher.searching()) {
+        return;
+    }
+    this->search_tick_set = true;
+    this->shell.loop.call_after(search_tick, [this] {
+        this->search_tick_set = false;
+        this->tick_searches();
+    });
+}
+
+void balancer::tick_searches() {
+    this->dispatcher.set_members_complete(this->knows_all_agents());
+    this->carry_out_all(this->dispatcher.tick(this->shell.now()));
+    this->schedule_search_tick();
+}
+
+void balancer::on_message(support::endpoint from, const peer::message& body) {
+    std::visit([&](const auto& each) { this->on_body(from, each); }, body);
+}
+
+void balancer::on_body(support::endpoint from, const peer::ping& body) {
+    // Another balancer took this address for an agent's.
+    this->view.on_peer_view(from, body.view);
+}
+
+void balancer::on_body(support::endpoint from, const peer::carry& /*body*/) {
+    logging::line line("unexpected_carry");
+    line.add("from", from);
+    this->shell.log(logging::level::warn, "unexpected_carry", line);
+}
+
+void balancer::on_body(support::endpoint from, const peer::pong& body) {
+    const support::instant now = this->shell.now();
+    this->any_answer = true;
+    this->members.on_report(now, body.report);
+    this->view.on_peer_view(from, body.view);
+    for (const support::endpoint other : body.balancers) {
+        if (other != this->shell.settings.peers) {
+            this->balancers[other] = now;
+        }
+    }
+}
+
+void balancer::on_body(support::endpoint /*from*/, const peer::owned& body) {
+    this->carry_out_all(
+        this->dispatcher.on_owned(this->shell.now(), body.key, body.agent));
+}
+
+void balancer::on_body(support::endpoint /*from*/, const peer::absent& body) {
+    this->carry_out_all(this->dispatcher.on_absent(this->shell.now(), body));
+}
+
+} // namespace guavastair::relay
