Log failed recalls; one place for the platform's commands and answers

Cause: reading the change again: a list of flows that could not be read was passed over silently, a stopping agent warned that its entry is missing, two readers of the store's answers and two tables of commands said the same. Ruled out: nothing.

--- a/lib/relay/agent.hpp
+++ b/lib/relay/agent.hpp
@@ -69,6 +69,7 @@
     void reset_flows(const std::vector<peer::listed_flow>& flows,
                      absl::string_view cause);
     void recall_flows();
+    void note_recall_failure(const absl::Status& why);
     void remember_flows();
     void introduce();
     void on_view_changed();
--- a/lib/relay/agent_peers.cpp
+++ b/lib/relay/agent_peers.cpp
@@ -51,7 +51,7 @@
     if (listed == peer::listing::present) {
         this->is_listed = true;
     }
-    if (listed != peer::listing::absent ||
+    if (listed != peer::listing::absent || this->stopping ||
         now - this->published_at <= listing_lag) {
         return;
     }
--- a/lib/relay/agent_server.cpp
+++ b/lib/relay/agent_server.cpp
@@ -63,12 +63,20 @@
                       "server_lost");
 }
 
+void agent::note_recall_failure(const absl::Status& why) {
+    logging::line line("recall_failed");
+    line.add("error", support::to_string(support::kind_of(why)))
+        .add("why", why.message());
+    this->shell.log(logging::level::warn, "recall_failed", line);
+}
+
 /// Reads which flows the server held before this process started.
 void agent::recall_flows() {
     const std::string key = platform::flows_key(this->shell.settings.peers);
     this->ledger_reader.list(
         key, "", [this, key](const absl::StatusOr<registry::page>& got) {
             if (!got.ok()) {
+                this->note_recall_failure(got.status());
                 if (this->shell.now() - this->started < recall_time) {
                     this->shell.loop.call_after(
                         recall_pause, [this] { this->recall_flows(); });
@@ -76,8 +84,12 @@
                 return;
             }
             for (const registry::entry& each : got->entries) {
+                if (each.key != key) {
+                    continue;
+                }
                 auto list = peer::decode_flow_list(each.value);
-                if (each.key != key || !list.ok()) {
+                if (!list.ok()) {
+                    this->note_recall_failure(list.status());
                     continue;
                 }
                 logging::line line("flows_recalled");
--- a/tools/guavastair/commands.hpp
+++ b/tools/guavastair/commands.hpp
@@ -27,10 +27,10 @@
 absl::Status run_data_centre_return(std::span<const std::string> arguments);
 absl::Status run_data_centre_list(std::span<const std::string> arguments);
 
-/// Runs a role on the users' platform until SIGTERM or SIGINT; the platform's
-/// environment names the settings.
-absl::Status run_platform_balancer(std::span<const std::string> arguments);
-absl::Status run_platform_agent(std::span<const std::string> arguments);
+/// The commands that run a role on the users' platform until SIGTERM or
+/// SIGINT; the platform's environment names the settings.
+command platform_balancer_command();
+command platform_agent_command();
 
 absl::Status run_version(std::span<const std::string> arguments);
 
--- a/tools/guavastair/platform_table.cpp
+++ b/tools/guavastair/platform_table.cpp
@@ -6,20 +6,8 @@
 
 /// What the binary can do when it is built for the platform alone.
 static const std::array commands{
-    command{"platform balancer",
-            "",
-            0,
-            0,
-            "runs a balancer on the users' platform",
-            {},
-            run_platform_balancer},
-    command{"platform agent",
-            "",
-            0,
-            0,
-            "runs an agent on the users' platform",
-            {},
-            run_platform_agent},
+    platform_balancer_command(),
+    platform_agent_command(),
     command{"version", "", 0, 0, "shows the version", {}, run_version},
 };
 
