One socket port, one way to a caller; less work on each packet and tick

Cause: reading the whole change again. Opening a UDP socket and its loop of batches stood three times in lib/relay, the address of a caller four times, to_sockaddr twice (net, http), a flow's absence twice, the candidates of an opening twice. An agent sorted all its flows ten times a second to write them once in three, went through all routes for each opening, and made two strings for each packet counted. last_heard, the value kept of a lost flow, one of two set_listed() and a test's member were dead; what a balancer noted of agents that are forgotten stayed; an entry that is too large was passed over silently. Change: udp_port, caller_address(), net::to_sockaddr(), candidates(), routing_state::best_priority() with a test, flow_ledger::is_due(); the dead parts are gone; such an entry has its line. No decision changed and no assertion was touched.

--- a/include/guavastair/net.hpp
+++ b/include/guavastair/net.hpp
@@ -19,8 +19,13 @@
 #include <optional>
 #include <span>
 
+struct sockaddr_in;
+
 namespace guavastair::net {
 
+/// `address` as the system calls take it.
+sockaddr_in to_sockaddr(support::endpoint address);
+
 // ---------------------------------------------------------- event loop
 
 /// What a descriptor is watched for, or ready for.
--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -92,8 +92,7 @@
 public:
     server_monitor(monitor_settings chosen, support::instant now);
 
-    /// Takes a report. `knows_first` tells whether `report` is the first that
-    /// its start ever sent, so the agent has seen the whole life of the server.
+    /// Takes a report in.
     report_effect on_report(support::instant now, const server_report& report);
 
     /// The server says that it leaves for good.
@@ -139,7 +138,6 @@
     monitor_settings settings;
     peer::server_condition state = peer::server_condition::unknown;
     std::optional<server_report> last;
-    support::instant last_heard;
     support::instant last_report_at;
     support::instant last_probe;
     std::optional<support::instant> unanswered_since;
@@ -398,6 +396,9 @@
 public:
     flow_ledger(ledger_settings chosen, support::instant now);
 
+    /// Whether enough time has passed since the last write.
+    bool is_due(support::instant now) const;
+
     /// The list to write now, if any; counts it as written.
     std::optional<peer::flow_list>
     next_write(support::instant now, std::vector<peer::listed_flow> open,
--- a/include/guavastair/routing.hpp
+++ b/include/guavastair/routing.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -141,6 +142,11 @@
     bool leads_to(support::endpoint address,
                   const support::service_name& service) const;
 
+    /// The highest priority, thus the lowest number, of the routes that lead
+    /// to `service` now; nothing if none does.
+    std::optional<std::uint32_t>
+    best_priority(const support::service_name& service) const;
+
     bool is_withdrawn(const support::data_centre_name& name) const;
 
 private:
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -70,10 +70,6 @@
     void set_listed(support::instant now,
                     std::span<const peer::agent_report> listed);
 
-    /// The store lists `report` or, if `present` is false, no longer does.
-    void set_listed(support::instant now, const peer::agent_report& report,
-                    bool present);
-
     /// An agent reported about itself.
     void on_report(support::instant now, const peer::agent_report& report);
 
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -78,7 +78,7 @@
         if (!this->socket.is_open()) {
             return false;
         }
-        const sockaddr_in address = to_sockaddr(this->peer);
+        const sockaddr_in address = net::to_sockaddr(this->peer);
         const auto* raw = reinterpret_cast<const sockaddr*>(&address);
         const int result = ::connect(this->socket.get(), raw, sizeof address);
         this->connected = result == 0;
@@ -243,7 +243,7 @@
         this->stop();
         this->done = std::move(call);
         this->socket = open_tcp();
-        const sockaddr_in address = to_sockaddr(at);
+        const sockaddr_in address = net::to_sockaddr(at);
         const auto* raw = reinterpret_cast<const sockaddr*>(&address);
         const int result = ::connect(this->socket.get(), raw, sizeof address);
         if (result != 0 && errno != EINPROGRESS) {
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -65,7 +65,7 @@
         const int on = 1;
         setsockopt(this->listener.get(), SOL_SOCKET, SO_REUSEADDR, &on,
                    sizeof on);
-        const sockaddr_in address = to_sockaddr(at);
+        const sockaddr_in address = net::to_sockaddr(at);
         const auto* raw = reinterpret_cast<const sockaddr*>(&address);
         if (bind(this->listener.get(), raw, sizeof address) != 0 ||
             ::listen(this->listener.get(), listen_backlog) != 0) {
--- a/lib/http/socket.cpp
+++ b/lib/http/socket.cpp
@@ -36,14 +36,6 @@
     }
 }
 
-sockaddr_in to_sockaddr(support::endpoint address) {
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    result.sin_addr.s_addr = htonl(address.address.value);
-    return result;
-}
-
 descriptor open_tcp() {
     descriptor opened(
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
--- a/lib/http/socket.hpp
+++ b/lib/http/socket.hpp
@@ -34,8 +34,6 @@
     int value = -1;
 };
 
-sockaddr_in to_sockaddr(support::endpoint address);
-
 /// A non-blocking TCP socket with small delays, or a closed descriptor.
 descriptor open_tcp();
 
--- a/lib/net/udp_socket.cpp
+++ b/lib/net/udp_socket.cpp
@@ -14,7 +14,7 @@
 
 namespace guavastair::net {
 
-static sockaddr_in to_sockaddr(support::endpoint address) {
+sockaddr_in to_sockaddr(support::endpoint address) {
     sockaddr_in result{};
     result.sin_family = AF_INET;
     result.sin_port = htons(address.port);
--- a/lib/ownership/flow_ledger.cpp
+++ b/lib/ownership/flow_ledger.cpp
@@ -34,13 +34,15 @@
     return false;
 }
 
+bool flow_ledger::is_due(support::instant now) const {
+    return now - this->last_write >= this->settings.write_interval;
+}
+
 std::optional<peer::flow_list>
 flow_ledger::next_write(support::instant now,
                         std::vector<peer::listed_flow> open,
                         const std::optional<server_report>& server) {
-    const bool too_soon =
-        now - this->last_write < this->settings.write_interval;
-    if (too_soon || !server.has_value()) {
+    if (!this->is_due(now) || !server.has_value()) {
         return std::nullopt;
     }
     if (open.size() > peer::max_listed_flows) {
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -57,10 +57,6 @@
     bool locating = false;
 };
 
-struct lost_flow {
-    std::uint32_t acknowledged = 0;
-};
-
 map_key to_key(const flow::flow_key& key) {
     return flow::flow_hash(key);
 }
@@ -96,7 +92,7 @@
     absl::flat_hash_map<flow::flow_key, flow_record> flows;
     recent_map<question> questions;
     recent_map<bool> not_here;
-    recent_map<lost_flow> lost;
+    recent_map<bool> lost;
     std::uint32_t waiting = 0;
     double mean_waiting = 0.0;
 };
@@ -343,7 +339,7 @@
         if (!was_open) {
             return table.absent(balancer, false, basis::returned_by_server);
         }
-        table.lost.put(key, {packet.acknowledgement}, now);
+        table.lost.put(key, true, now);
         action result;
         result.kind = action_kind::reset;
         result.why = basis::lost_with_server;
@@ -418,7 +414,7 @@
         if (record.at != stage::open || finished) {
             continue;
         }
-        table.lost.put(to_key(key), {record.acknowledged}, now);
+        table.lost.put(to_key(key), true, now);
         orders.push_back({key, record.acknowledged});
     }
     table.flows.clear();
--- a/lib/ownership/server_monitor.cpp
+++ b/lib/ownership/server_monitor.cpp
@@ -22,7 +22,7 @@
 }
 
 server_monitor::server_monitor(monitor_settings chosen, support::instant now)
-    : settings(chosen), last_heard(now), last_report_at(now),
+    : settings(chosen), last_report_at(now),
       last_probe(now - chosen.probe_interval) {}
 
 report_effect server_monitor::on_report(support::instant now,
@@ -42,7 +42,6 @@
         }
     }
     this->last = report;
-    this->last_heard = now;
     this->last_report_at = now;
     this->unanswered_since.reset();
     this->silent_probes = 0;
@@ -57,13 +56,11 @@
     return is_first ? report_effect::first : report_effect::updated;
 }
 
-void server_monitor::on_left(support::instant now) {
-    this->last_heard = now;
+void server_monitor::on_left(support::instant /*now*/) {
     this->state = server_condition::gone;
 }
 
-void server_monitor::on_server_packet(support::instant now) {
-    this->last_heard = now;
+void server_monitor::on_server_packet(support::instant /*now*/) {
     this->unanswered_since.reset();
     this->silent_probes = 0;
     const bool was_missed = this->state == server_condition::silent ||
@@ -105,7 +102,6 @@
 }
 
 void server_monitor::on_resumed(support::instant now) {
-    this->last_heard = now;
     this->last_report_at = now;
     this->unanswered_since.reset();
     this->silent_probes = 0;
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -19,9 +19,6 @@
 /// tell.
 constexpr support::duration view_watch_time = support::seconds(8);
 
-constexpr std::size_t packet_batch = 32;
-constexpr int packet_kernel_buffer = 4 << 20;
-
 ownership::owner_settings owner_settings(const platform::settings& settings) {
     ownership::owner_settings result;
     result.longest_flow = settings.longest_flow;
@@ -72,7 +69,8 @@
                 [this](const http::request& ask) { return this->answer(ask); }),
       control(shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
-      probe(shell.loop), run_id(shell.random()), started(shell.now()) {}
+      probe(shell.loop), outbound(shell), run_id(shell.random()),
+      started(shell.now()) {}
 
 void agent::add_metrics() {
     add_common_metrics(this->page, this->shell, this->view);
@@ -179,22 +177,13 @@
                 this->on_message(from, body);
             });
     }
-    if (!status.ok()) {
-        return status;
-    }
-    net::udp_options options;
-    options.local = this->shell.settings.outbound;
-    options.batch = packet_batch;
-    options.kernel_buffer_size = packet_kernel_buffer;
-    auto opened = net::udp_socket::open(options);
-    if (!opened.ok()) {
-        return opened.status();
+    if (status.ok()) {
+        status =
+            this->outbound.open(packet_options(this->shell.settings.outbound),
+                                [this](const net::datagram& received) {
+                                    this->on_server_datagram(received.payload);
+                                });
     }
-    this->outbound = std::make_unique<net::udp_socket>(*std::move(opened));
-    this->shell.loop.call_each_round([this] { this->outbound->flush(); });
-    status = this->shell.loop.watch(
-        this->outbound->descriptor(), {.readable = true},
-        [this](net::readiness) { this->receive_server_packets(); });
     if (status.ok()) {
         status = this->control.listen(this->shell.settings.control);
     }
--- a/lib/relay/agent.hpp
+++ b/lib/relay/agent.hpp
@@ -28,7 +28,6 @@
 
 private:
     absl::Status open();
-    void receive_server_packets();
     void on_server_datagram(std::span<const std::byte> bytes);
     void deliver(std::span<const std::byte> bytes, const flow::packet& packet);
     void reset(const flow::flow_key& key, std::uint32_t sequence);
@@ -96,7 +95,7 @@
     http::server readiness;
     http::server control;
     http::connect_probe probe;
-    std::unique_ptr<net::udp_socket> outbound;
+    udp_port outbound;
     std::uint64_t run_id;
     std::map<support::endpoint, support::instant> balancers;
     support::instant last_ping;
--- a/lib/relay/agent_packets.cpp
+++ b/lib/relay/agent_packets.cpp
@@ -68,16 +68,11 @@
     if (wanted.kind == routing::request_kind::non_idempotent) {
         return ownership::urgency::highest;
     }
-    const routing::routing_state& rules = this->view.rules();
-    for (const routing::route& each : rules.view().config.routes) {
-        const bool outranks =
-            each.priority < wanted.priority &&
-            rules.leads_to(each.address, this->shell.settings.service);
-        if (outranks) {
-            return ownership::urgency::lower;
-        }
-    }
-    return ownership::urgency::highest;
+    const auto best =
+        this->view.rules().best_priority(this->shell.settings.service);
+    return best.has_value() && *best < wanted.priority
+               ? ownership::urgency::lower
+               : ownership::urgency::highest;
 }
 
 bool agent::is_known() const {
@@ -86,9 +81,8 @@
 }
 
 void agent::reset(const flow::flow_key& key, std::uint32_t sequence) {
-    const support::endpoint caller{key.caller.address,
-                                   this->shell.settings.packets.port};
-    this->outbound->queue_copy(caller, platform::make_reset(key, sequence));
+    this->outbound.socket().queue_copy(this->shell.caller_address(key),
+                                       platform::make_reset(key, sequence));
 }
 
 void agent::deliver(std::span<const std::byte> bytes,
@@ -96,7 +90,7 @@
     if (packet.flags.syn() || packet.payload_size > 0) {
         this->monitor.on_delivered(this->shell.now());
     }
-    this->outbound->queue_copy(this->shell.settings.server, bytes);
+    this->outbound.socket().queue_copy(this->shell.settings.server, bytes);
 }
 
 void agent::log_action(const ownership::action& decided,
@@ -140,7 +134,9 @@
                       std::span<const std::byte> bytes) {
     using ownership::action_kind;
     const support::endpoint self = this->shell.settings.peers;
-    const bool lost = decided.why == ownership::basis::lost_with_server;
+    peer::absent absent;
+    absent.key = packet.key;
+    absent.agent = self;
     if (decided.tell_owned) {
         this->link.send(decided.balancer, peer::owned{packet.key, self});
     }
@@ -157,25 +153,18 @@
         this->link.send(decided.next, body);
         break;
     }
-    case action_kind::answer_absent: {
-        peer::absent body;
-        body.key = packet.key;
-        body.agent = self;
-        body.certain = decided.certain;
+    case action_kind::answer_absent:
+        absent.certain = decided.certain;
         if (decided.give_back) {
-            body.packet = bytes;
+            absent.packet = bytes;
         }
-        this->link.send(decided.balancer, body);
+        this->link.send(decided.balancer, absent);
         break;
-    }
     case action_kind::reset:
         this->reset(packet.key, packet.acknowledgement);
-        if (lost) {
-            peer::absent body;
-            body.key = packet.key;
-            body.agent = self;
-            body.lost = true;
-            this->link.send(decided.balancer, body);
+        absent.lost = decided.why == ownership::basis::lost_with_server;
+        if (absent.lost) {
+            this->link.send(decided.balancer, absent);
         }
         break;
     case action_kind::drop:
@@ -211,18 +200,6 @@
     this->carry_out(decided, packet->head, body.packet);
 }
 
-void agent::receive_server_packets() {
-    while (true) {
-        const std::span<const net::datagram> batch = this->outbound->receive();
-        if (batch.empty()) {
-            return;
-        }
-        for (const net::datagram& each : batch) {
-            this->on_server_datagram(each.payload);
-        }
-    }
-}
-
 void agent::on_server_datagram(std::span<const std::byte> bytes) {
     const auto packet =
         platform::parse_packet(bytes, platform::packet_writer::server);
@@ -239,9 +216,8 @@
                                       ms_per_second);
         }
         this->ledger.on_server_packet(packet->head.key);
-        const support::endpoint caller{packet->head.key.caller.address,
-                                       this->shell.settings.packets.port};
-        this->outbound->queue(caller, {}, bytes);
+        this->outbound.socket().queue(
+            this->shell.caller_address(packet->head.key), {}, bytes);
         return;
     }
     std::array<std::byte, platform::max_packet_size> restored;
--- a/lib/relay/agent_server.cpp
+++ b/lib/relay/agent_server.cpp
@@ -105,6 +105,9 @@
 
 void agent::remember_flows() {
     const support::instant now = this->shell.now();
+    if (!this->ledger.is_due(now)) {
+        return;
+    }
     const auto list = this->ledger.next_write(
         now, this->owner.open_flows(now, least_remembered_age),
         this->monitor.last_report());
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -1,6 +1,5 @@
 #include "balancer.hpp"
 #include "operator_documents.hpp"
-#include "packet.hpp"
 #include "server_report.hpp"
 
 #include <guavastair/relay.hpp>
@@ -8,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <optional>
 
 namespace guavastair::relay {
 
@@ -62,7 +62,8 @@
       members({}),
       dispatcher(dispatcher_settings(shell.settings), members, view.rules()),
       control(shell.loop,
-              [this](const http::request& ask) { return this->answer(ask); }) {}
+              [this](const http::request& ask) { return this->answer(ask); }),
+      packets(shell) {}
 
 /// Whether the store's list of agents is known to be whole. An agent takes no
 /// flow before it is in that list.
@@ -72,25 +73,32 @@
            this->shell.now() - listed <= list_lifetime;
 }
 
+/// The report that an agent has left under its key, if `entry` is one.
+static std::optional<peer::agent_report>
+read_entry(const registry::entry& entry) {
+    alignas(8) std::array<std::byte, peer::max_message_size> aligned;
+    const std::size_t size = entry.value.size();
+    if (size > aligned.size()) {
+        return std::nullopt;
+    }
+    std::memcpy(aligned.data(), entry.value.data(), size);
+    const auto body = peer::decode(std::span(aligned).first(size));
+    const auto* pong = body.ok() ? std::get_if<peer::pong>(&*body) : nullptr;
+    const bool is_its_own =
+        pong != nullptr && platform::agent_key(pong->report.agent) == entry.key;
+    return is_its_own ? std::optional(pong->report) : std::nullopt;
+}
+
 void balancer::on_agents_listed() {
     std::vector<peer::agent_report> listed;
     for (const auto& [key, each] : this->agents.state().entries()) {
-        alignas(8) std::array<std::byte, peer::max_message_size> aligned;
-        if (each.value.size() > aligned.size()) {
+        if (auto report = read_entry(each)) {
+            listed.push_back(*std::move(report));
             continue;
         }
-        std::memcpy(aligned.data(), each.value.data(), each.value.size());
-        const auto body =
-            peer::decode(std::span(aligned).first(each.value.size()));
-        const auto* pong =
-            body.ok() ? std::get_if<peer::pong>(&*body) : nullptr;
-        if (pong == nullptr || platform::agent_key(pong->report.agent) != key) {
-            logging::line line("entry_refused");
-            line.add("key", key).add("revision", each.modified.value);
-            this->shell.log(logging::level::warn, "entry_refused", line);
-            continue;
-        }
-        listed.push_back(pong->report);
+        logging::line line("entry_refused");
+        line.add("key", key).add("revision", each.modified.value);
+        this->shell.log(logging::level::warn, "entry_refused", line);
     }
     this->members.set_listed(this->shell.now(), listed);
     this->ping_members();
@@ -148,10 +156,7 @@
             .add("flows", lost.size());
         this->shell.log(logging::level::warn, "agent_given_up", line);
         for (const steering::lost_flow& flow : lost) {
-            const support::endpoint caller{flow.key.caller.address,
-                                           this->shell.settings.packets.port};
-            this->packets->queue_copy(
-                caller, platform::make_reset(flow.key, flow.acknowledgement));
+            this->reset(flow.key, flow.acknowledgement);
         }
     }
 }
@@ -283,6 +288,12 @@
         std::erase_if(this->balancers, [now](const auto& entry) {
             return now - entry.second > balancer_lifetime;
         });
+        std::erase_if(this->presence, [this](const auto& entry) {
+            return this->members.find(entry.first) == nullptr;
+        });
+        std::erase_if(this->given_up, [this](support::endpoint agent) {
+            return this->members.find(agent) == nullptr;
+        });
     });
     logging::line line("started");
     line.add("role", "balancer")
--- a/lib/relay/balancer.hpp
+++ b/lib/relay/balancer.hpp
@@ -25,11 +25,11 @@
 
 private:
     absl::Status open_packets();
-    void receive_packets();
     void on_caller_packet(std::span<const std::byte> bytes);
     void carry_out(const steering::dispatch& decided, const flow::flow_key& key,
                    std::span<const std::byte> bytes);
     void reset(std::span<const std::byte> bytes);
+    void reset(const flow::flow_key& key, std::uint32_t sequence);
     void carry_out_all(const std::vector<steering::released>& released);
     void log_dispatch(const steering::dispatch& decided,
                       const flow::flow_key& key);
@@ -64,7 +64,7 @@
     metrics::registry page;
     decision_counters decisions{page, "guavastair_dispatches_total",
                                 "Decisions about callers' packets."};
-    std::unique_ptr<net::udp_socket> packets;
+    udp_port packets;
     std::map<support::endpoint, support::instant> balancers;
     std::map<support::endpoint, bool> presence;
     std::set<support::endpoint> given_up;
--- a/lib/relay/balancer_packets.cpp
+++ b/lib/relay/balancer_packets.cpp
@@ -7,37 +7,13 @@
 
 constexpr support::duration search_tick = support::milliseconds(10);
 
-constexpr std::size_t packet_batch = 32;
-constexpr int packet_kernel_buffer = 4 << 20;
-
 } // namespace
 
 absl::Status balancer::open_packets() {
-    net::udp_options options;
-    options.local = this->shell.settings.packets;
-    options.batch = packet_batch;
-    options.kernel_buffer_size = packet_kernel_buffer;
-    auto opened = net::udp_socket::open(options);
-    if (!opened.ok()) {
-        return opened.status();
-    }
-    this->packets = std::make_unique<net::udp_socket>(*std::move(opened));
-    this->shell.loop.call_each_round([this] { this->packets->flush(); });
-    return this->shell.loop.watch(
-        this->packets->descriptor(), {.readable = true},
-        [this](net::readiness) { this->receive_packets(); });
-}
-
-void balancer::receive_packets() {
-    while (true) {
-        const std::span<const net::datagram> batch = this->packets->receive();
-        if (batch.empty()) {
-            return;
-        }
-        for (const net::datagram& each : batch) {
-            this->on_caller_packet(each.payload);
-        }
-    }
+    return this->packets.open(packet_options(this->shell.settings.packets),
+                              [this](const net::datagram& received) {
+                                  this->on_caller_packet(received.payload);
+                              });
 }
 
 void balancer::on_caller_packet(std::span<const std::byte> bytes) {
@@ -58,11 +34,12 @@
     if (!packet.has_value()) {
         return;
     }
-    const flow::packet& head = packet->head;
-    const support::endpoint caller{head.key.caller.address,
-                                   this->shell.settings.packets.port};
-    this->packets->queue_copy(
-        caller, platform::make_reset(head.key, head.acknowledgement));
+    this->reset(packet->head.key, packet->head.acknowledgement);
+}
+
+void balancer::reset(const flow::flow_key& key, std::uint32_t sequence) {
+    this->packets.socket().queue_copy(this->shell.caller_address(key),
+                                      platform::make_reset(key, sequence));
 }
 
 void balancer::log_dispatch(const steering::dispatch& decided,
--- a/lib/relay/metrics_page.cpp
+++ b/lib/relay/metrics_page.cpp
@@ -57,8 +57,7 @@
 
 void decision_counters::count(absl::string_view outcome,
                               absl::string_view basis) {
-    metrics::counter*& found =
-        this->counters[{std::string(outcome), std::string(basis)}];
+    metrics::counter*& found = this->counters[{outcome, basis}];
     if (found == nullptr) {
         found = &this->page.add_counter({this->name,
                                          this->help,
--- a/lib/relay/metrics_page.hpp
+++ b/lib/relay/metrics_page.hpp
@@ -23,7 +23,8 @@
 void add_common_metrics(metrics::registry& page, process& owner,
                         const view_keeper& view);
 
-/// Counts decisions by outcome and basis, which are closed lists of names.
+/// Counts decisions by outcome and basis, which are closed lists of names: the
+/// views given must stay valid.
 class decision_counters {
 public:
     decision_counters(metrics::registry& page, std::string name,
@@ -35,7 +36,8 @@
     metrics::registry& page;
     std::string name;
     std::string help;
-    absl::flat_hash_map<std::pair<std::string, std::string>, metrics::counter*>
+    absl::flat_hash_map<std::pair<absl::string_view, absl::string_view>,
+                        metrics::counter*>
         counters;
 };
 
--- a/lib/relay/process.cpp
+++ b/lib/relay/process.cpp
@@ -22,10 +22,13 @@
 static constexpr support::duration settings_check_interval =
     support::seconds(2);
 
-/// Datagrams in one system call: bounds the memory of a socket's buffers.
+/// Datagrams in one system call, between processes and of packets: bounds the
+/// memory of a socket's buffers.
 static constexpr std::size_t peer_batch = 16;
-/// Bytes that the kernel keeps for a socket in each direction.
-static constexpr int kernel_buffer = 1 << 20;
+static constexpr std::size_t packet_batch = 32;
+/// Bytes that the kernel keeps for such a socket in each direction.
+static constexpr int peer_kernel_buffer = 1 << 20;
+static constexpr int packet_kernel_buffer = 4 << 20;
 
 /// The write end of the pipe that signal handlers wake the loop by.
 static int signal_write_end = -1;
@@ -179,58 +182,89 @@
     return (std::uint64_t{source()} << word_bits) | source();
 }
 
-// ------------------------------------------------------------ peer_link
+net::udp_options packet_options(support::endpoint local) {
+    net::udp_options options;
+    options.local = local;
+    options.batch = packet_batch;
+    options.kernel_buffer_size = packet_kernel_buffer;
+    return options;
+}
 
-peer_link::peer_link(process& chosen) : owner(chosen) {}
+support::endpoint process::caller_address(const flow::flow_key& key) const {
+    return {key.caller.address, this->settings.packets.port};
+}
 
-absl::Status peer_link::open(receiver call) {
-    this->on_message = std::move(call);
-    net::udp_options options;
-    options.local = this->owner.settings.peers;
-    options.batch = peer_batch;
-    options.kernel_buffer_size = kernel_buffer;
-    auto opened = net::udp_socket::open(options);
-    if (!opened.ok()) {
-        return opened.status();
+// ------------------------------------------------------------- udp_port
+
+udp_port::udp_port(process& chosen) : owner(chosen) {}
+
+absl::Status udp_port::open(const net::udp_options& options, receiver call) {
+    this->on_datagram = std::move(call);
+    auto socket = net::udp_socket::open(options);
+    if (!socket.ok()) {
+        return socket.status();
     }
-    this->socket = std::make_unique<net::udp_socket>(*std::move(opened));
-    this->owner.loop.call_each_round([this] { this->socket->flush(); });
-    return this->owner.loop.watch(this->socket->descriptor(),
+    this->opened = std::make_unique<net::udp_socket>(*std::move(socket));
+    this->owner.loop.call_each_round([this] { this->opened->flush(); });
+    return this->owner.loop.watch(this->opened->descriptor(),
                                   {.readable = true},
                                   [this](net::readiness) { this->receive(); });
 }
 
-void peer_link::receive() {
-    alignas(8) std::array<std::byte, peer::max_message_size> aligned;
+net::udp_socket& udp_port::socket() {
+    return *this->opened;
+}
+
+void udp_port::receive() {
     while (true) {
-        const std::span<const net::datagram> batch = this->socket->receive();
+        const std::span<const net::datagram> batch = this->opened->receive();
         if (batch.empty()) {
             return;
         }
         for (const net::datagram& each : batch) {
-            const std::size_t size = each.payload.size();
-            if (size > aligned.size()) {
-                ++this->malformed_count;
-                continue;
-            }
-            std::memcpy(aligned.data(), each.payload.data(), size);
-            const auto body = peer::decode(std::span(aligned).first(size));
-            if (body.ok()) {
-                this->on_message(each.peer, *body);
-            } else {
-                ++this->malformed_count;
-                logging::line line("message_refused");
-                line.add("from", each.peer).add("why", body.status().message());
-                this->owner.log(logging::level::warn, "message_refused", line);
-            }
+            this->on_datagram(each);
         }
     }
 }
 
+// ------------------------------------------------------------ peer_link
+
+peer_link::peer_link(process& chosen) : owner(chosen), port(chosen) {}
+
+absl::Status peer_link::open(receiver call) {
+    this->on_message = std::move(call);
+    net::udp_options options;
+    options.local = this->owner.settings.peers;
+    options.batch = peer_batch;
+    options.kernel_buffer_size = peer_kernel_buffer;
+    return this->port.open(options, [this](const net::datagram& received) {
+        this->receive(received);
+    });
+}
+
+void peer_link::receive(const net::datagram& received) {
+    alignas(8) std::array<std::byte, peer::max_message_size> aligned;
+    const std::size_t size = received.payload.size();
+    if (size > aligned.size()) {
+        ++this->malformed_count;
+        return;
+    }
+    std::memcpy(aligned.data(), received.payload.data(), size);
+    const auto body = peer::decode(std::span(aligned).first(size));
+    if (body.ok()) {
+        this->on_message(received.peer, *body);
+        return;
+    }
+    ++this->malformed_count;
+    logging::line line("message_refused");
+    line.add("from", received.peer).add("why", body.status().message());
+    this->owner.log(logging::level::warn, "message_refused", line);
+}
+
 void peer_link::send(support::endpoint to, const peer::message& body) {
     alignas(8) std::array<std::byte, peer::max_message_size> buffer;
     const std::size_t size = peer::encode(body, buffer);
-    this->socket->queue_copy(to, std::span(buffer).first(size));
+    this->port.socket().queue_copy(to, std::span(buffer).first(size));
 }
 
 std::uint64_t peer_link::malformed() const {
--- a/lib/relay/process.hpp
+++ b/lib/relay/process.hpp
@@ -17,6 +17,9 @@
 
 namespace guavastair::relay {
 
+/// Options of a socket for packets at `local`.
+net::udp_options packet_options(support::endpoint local);
+
 /// The clock, loop, log and settings of one process.
 class process {
 public:
@@ -44,6 +47,9 @@
     std::uint64_t lines_written() const;
     std::uint64_t lines_left_out() const;
 
+    /// Where packets for the caller of `key` are sent.
+    support::endpoint caller_address(const flow::flow_key& key) const;
+
     /// A random number for choices that must differ between processes.
     std::uint64_t random();
 
@@ -66,6 +72,28 @@
     std::int64_t settings_written = 0;
 };
 
+/// A UDP socket on the process's loop. What is queued leaves at the end of the
+/// round.
+class udp_port {
+public:
+    using receiver = std::function<void(const net::datagram&)>;
+
+    explicit udp_port(process& owner);
+
+    /// Opens the socket; `call` hears every datagram.
+    absl::Status open(const net::udp_options& options, receiver call);
+
+    /// The open socket.
+    net::udp_socket& socket();
+
+private:
+    void receive();
+
+    process& owner;
+    receiver on_datagram;
+    std::unique_ptr<net::udp_socket> opened;
+};
+
 /// Sends and receives messages between processes of the system.
 class peer_link {
 public:
@@ -83,11 +111,11 @@
     std::uint64_t malformed() const;
 
 private:
-    void receive();
+    void receive(const net::datagram& received);
 
     process& owner;
     receiver on_message;
-    std::unique_ptr<net::udp_socket> socket;
+    udp_port port;
     std::uint64_t malformed_count = 0;
 };
 
--- a/lib/routing/routing_state.cpp
+++ b/lib/routing/routing_state.cpp
@@ -55,6 +55,7 @@
     std::unordered_map<support::endpoint, std::vector<support::service_name>,
                        endpoint_hash>
         ever;
+    std::unordered_map<support::service_name, std::uint32_t> best_priorities;
 
     void index_routes();
     void remember(const route& each);
@@ -76,10 +77,18 @@
 
 void routing_state::implementation::index_routes() {
     this->by_address.clear();
+    this->best_priorities.clear();
     const std::vector<route>& routes = this->held.config.routes;
     for (std::size_t i = 0; i < routes.size(); ++i) {
         this->by_address.emplace(routes[i].address, i);
         this->remember(routes[i]);
+        for (const weighted_service& choice : routes[i].services) {
+            const std::uint32_t priority = routes[i].priority;
+            std::uint32_t& best =
+                this->best_priorities.emplace(choice.service, priority)
+                    .first->second;
+            best = std::min(best, priority);
+        }
     }
 }
 
@@ -178,6 +187,15 @@
                        });
 }
 
+std::optional<std::uint32_t>
+routing_state::best_priority(const support::service_name& service) const {
+    const auto found = this->self->best_priorities.find(service);
+    if (found == this->self->best_priorities.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
 bool routing_state::is_withdrawn(const support::data_centre_name& name) const {
     return this->self->held.withdrawn.count(name) != 0;
 }
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -81,6 +81,9 @@
           locations(settings.max_locations, settings.location_lifetime) {}
 
     dispatch open(support::instant now, const flow::packet& packet);
+    std::vector<support::endpoint>
+    candidates(support::instant now, const support::service_name* service,
+               std::uint64_t hash) const;
     dispatch offer(support::instant now, const routing::route& target,
                    std::uint64_t hash);
     bool is_starting(support::instant now,
@@ -121,16 +124,25 @@
     });
 }
 
+/// The agents to offer an opening to; none without a service.
+std::vector<support::endpoint>
+dispatcher::implementation::candidates(support::instant now,
+                                       const support::service_name* service,
+                                       std::uint64_t hash) const {
+    if (service == nullptr) {
+        return {};
+    }
+    return choose_opening(now, this->settings.opening, this->members,
+                          this->rules, *service, hash);
+}
+
 dispatch dispatcher::implementation::offer(support::instant now,
                                            const routing::route& target,
                                            std::uint64_t hash) {
     const support::service_name* service =
         routing::choose_service(target.services, hash);
-    std::vector<support::endpoint> chosen;
-    if (service != nullptr) {
-        chosen = choose_opening(now, this->settings.opening, this->members,
-                                this->rules, *service, hash);
-    }
+    const std::vector<support::endpoint> chosen =
+        this->candidates(now, service, hash);
     if (chosen.empty()) {
         // The caller sends its opening packet again soon.
         return this->is_starting(now, service)
@@ -170,14 +182,9 @@
     }
     dispatch result = send_to(located->agent, dispatch_basis::repeated_opening);
     result.carry = peer::carry_kind::open;
-    const support::service_name* service =
-        routing::choose_service(target->services, hash);
-    if (service != nullptr) {
-        result.candidates =
-            choose_opening(now, this->settings.opening, this->members,
-                           this->rules, *service, hash);
-        std::erase(result.candidates, located->agent);
-    }
+    result.candidates = this->candidates(
+        now, routing::choose_service(target->services, hash), hash);
+    std::erase(result.candidates, located->agent);
     return result;
 }
 
@@ -365,8 +372,7 @@
         if (found != state.searches.end() && answer.certain) {
             found->second.ruled_out.insert(answer.agent);
         }
-        return {{answer.key, begun,
-                 bytes(answer.packet.begin(), answer.packet.end())}};
+        return {{answer.key, begun, copy(answer.packet)}};
     }
     search& under_way = found->second;
     if (answer.certain) {
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -43,28 +43,15 @@
         each.listed = false;
     }
     for (const peer::agent_report& report : listed) {
-        this->set_listed(now, report, true);
-    }
-}
-
-void member_table::set_listed(support::instant now,
-                              const peer::agent_report& report, bool present) {
-    if (!present) {
-        const auto found = this->self->members.find(report.agent);
-        if (found != this->self->members.end()) {
-            found->second.listed = false;
+        member* each = this->self->add(now, report);
+        if (each == nullptr) {
+            continue;
+        }
+        each->listed = true;
+        // The agent's own word is newer than what it once wrote.
+        if (!each->answered) {
+            each->report = report;
         }
-        return;
-    }
-    member* each = this->self->add(now, report);
-    if (each == nullptr) {
-        return;
-    }
-    each->listed = true;
-    // The agent's own word is newer than what it once wrote, unless the entry
-    // is of another run at the same address.
-    if (!each->answered) {
-        each->report = report;
     }
 }
 
--- a/unittests/routing/routing_state_test.cpp
+++ b/unittests/routing/routing_state_test.cpp
@@ -99,6 +99,20 @@
     CHECK(services[1].value == "portal");
 }
 
+TEST_CASE("the best priority of a service is that of its best route") {
+    routing::routing_state state;
+    auto first = view(10, 10, 4);
+    first.config.routes.resize(3, first.config.routes[0]);
+    first.config.routes[0].priority = 2;
+    first.config.routes[1].priority = 1;
+    first.config.routes[2].priority = 0;
+    first.config.routes[2].services = {{{"drawings"}, 1}};
+    state.adopt(first, {1});
+    CHECK(state.best_priority({"portal"}) == 1);
+    CHECK(state.best_priority({"drawings"}) == 0);
+    CHECK_FALSE(state.best_priority({"nobody's"}).has_value());
+}
+
 TEST_CASE("versions in force never go back, whatever order views come in") {
     CHECK(rc::check("monotonic", [] {
         const auto steps =
--- a/unittests/steering/flow_simulation_test.cpp
+++ b/unittests/steering/flow_simulation_test.cpp
@@ -166,7 +166,6 @@
         this->send([this, which, head] {
             const std::array<std::byte, 1> bytes{};
             balancer& at = *this->balancers[which];
-            this->current = {head, 0};
             this->carry_out(which, head.key,
                             at.dispatcher.on_packet(this->time(), head, bytes),
                             {head, 0});
@@ -442,7 +441,6 @@
 
     std::mt19937 random;
     int now = 0;
-    carried current;
     std::multimap<int, event> queue;
     std::map<std::uint32_t, server> servers;
     std::map<std::uint32_t, agent> agents;
