Let the line for a slot grow with the variation of the latency

With two slots and one request in ten 91 times as long, the line of 4 for each slot drains while both slots are at long requests and is empty after them. Conclusion: the line is waiting_per_slot times the deviation of the latency by its mean, from 1 to 2 times.

--- a/include/guavastair/admission.hpp
+++ b/include/guavastair/admission.hpp
@@ -203,6 +203,9 @@
     /// Usual latency; nothing before the first answer.
     std::optional<support::duration> usual_latency() const;
 
+    /// Deviation of the latency as a share of its mean; 0 when not known.
+    double latency_variation() const;
+
     /// Answers a second that the present limit allows; 0 when not known.
     double served_per_second() const;
 
@@ -477,6 +480,10 @@
     int max_flows = 2000;
     /// Requests that may wait, for each request that may run. 0 for no queue.
     int waiting_per_slot = 4;
+    /// Where latencies vary by more than their mean, the queue grows with the
+    /// variation, by this factor at most: one long request must not leave the
+    /// slots idle after it.
+    double largest_queue_factor = 2.0;
     /// Longest wait for a slot.
     support::duration max_wait = support::milliseconds(1000);
     flow_admission::settings flows;
--- a/lib/admission/controller.cpp
+++ b/lib/admission/controller.cpp
@@ -62,7 +62,11 @@
 }
 
 int controller::state::waiting_room() const {
-    return this->settings.waiting_per_slot * this->limit.limit();
+    const double factor =
+        std::clamp(this->limit.latency_variation(), 1.0,
+                   std::max(1.0, this->settings.largest_queue_factor));
+    return static_cast<int>(this->settings.waiting_per_slot *
+                            this->limit.limit() * factor);
 }
 
 // A request that starts later than this could not be answered in time.
--- a/lib/admission/latency.cpp
+++ b/lib/admission/latency.cpp
@@ -79,6 +79,13 @@
     return this->mean;
 }
 
+double latency_record::variation() const {
+    if (this->samples < samples_to_judge || this->mean <= 0.0) {
+        return 0.0;
+    }
+    return std::sqrt(this->variance) / this->mean;
+}
+
 double latency_record::recent_ms() const {
     return this->recent;
 }
--- a/lib/admission/latency.hpp
+++ b/lib/admission/latency.hpp
@@ -33,6 +33,9 @@
     /// Mean in milliseconds; 0 before the first answer.
     double usual_ms() const;
 
+    /// Deviation as a share of the mean; 0 while too little is known.
+    double variation() const;
+
     /// Mean of the last few answers in milliseconds.
     double recent_ms() const;
 
--- a/lib/admission/limiter.cpp
+++ b/lib/admission/limiter.cpp
@@ -270,6 +270,10 @@
     return support::milliseconds(static_cast<std::int64_t>(ms));
 }
 
+double limiter::latency_variation() const {
+    return this->self->latency.variation();
+}
+
 double limiter::served_per_second() const {
     if (!this->self->latency.known()) {
         return 0.0;
--- a/unittests/admission/waiting_test.cpp
+++ b/unittests/admission/waiting_test.cpp
@@ -98,3 +98,30 @@
     CHECK(controller.status().waiting == 2);
     CHECK(controller.status().running == 3);
 }
+
+// One request in ten is 91 times as long: slots stay idle after a long one if
+// the line has drained meanwhile.
+TEST_CASE("the line is longer where latencies vary by more than their mean") {
+    const auto room = [](std::int64_t usual_ms, std::int64_t long_ms) {
+        admission::controller_settings settings = one_slot();
+        settings.waiting_per_slot = 4;
+        settings.max_wait = support::seconds(60);
+        admission::controller controller(settings, {}, {});
+        support::instant now{0};
+        for (int i = 0; i < 64; ++i) {
+            const auto run = controller.admit(now, 1, {});
+            REQUIRE(run.verdict == request_verdict::run);
+            controller.offered(now, run.id);
+            now = now + support::milliseconds(i % 10 == 0 ? long_ms : usual_ms);
+            controller.finish(now, run.id, admission::completion::answered);
+        }
+        int waiting = 0;
+        CHECK(controller.admit(now, 1, {}).verdict == request_verdict::run);
+        while (controller.admit(now, 1, {}).verdict == request_verdict::wait) {
+            ++waiting;
+        }
+        return waiting;
+    };
+    CHECK(room(10, 10) == 4);
+    CHECK(room(10, 910) == 8);
+}
