Ping agents of other data centres less often where there are many

Ruled out: rarer pings for everybody (the own data centre's agents take most openings, and finding a dark one late costs them); longer limits on silence for agents in use. Change: agents of other data centres that carry nothing for a balancer share 60 pings a second, each at least once a second; limits on silence follow the interval. An agent that a packet is carried to is pinged as before until it has answered two seconds after the last packet. Lists of balancers go along every two seconds. Sites of ten agents ping as before.

--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -104,6 +104,9 @@
     view_summary view;
     /// Whether the store lists the receiver, as far as the sender knows.
     listing listed = listing::unknown;
+    /// Whether the sender wants to hear of other balancers and names those
+    /// that it knows.
+    bool introduces = false;
     /// Balancers that the sender knows, itself left out.
     std::vector<support::endpoint> balancers;
 
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -29,11 +29,22 @@
 // ------------------------------------------------------------- members
 
 struct member_settings {
+    support::data_centre_name own_data_centre;
     /// Time between two pings of an agent that answers.
     support::duration ping_interval = support::milliseconds(250);
+    /// Pings a second to agents of other data centres that carry nothing for
+    /// this process; more agents are pinged less often each, down to
+    /// longest_remote_interval. Bytes between data centres are dear.
+    double remote_pings_per_second = 60.0;
+    support::duration longest_remote_interval = support::milliseconds(1000);
+    /// How long after a packet for it an agent counts as in use.
+    support::duration use_time = support::seconds(2);
+    /// Time between two pings that also name other processes.
+    support::duration introduction_interval = support::seconds(2);
     /// Time between two pings of one that has not answered for long.
     support::duration absent_ping_interval = support::milliseconds(1000);
-    /// Silence after which an agent gets no opening packets.
+    /// Silence after which an agent gets no opening packets; longer for one
+    /// that is pinged less often.
     support::duration dark_after = support::milliseconds(600);
     /// Silence after which an agent's flows are given up, if most other agents
     /// answer: longer than a process takes to restart.
@@ -54,10 +65,22 @@
     support::instant first_seen;
     support::instant last_answer;
     support::instant last_ping;
+    support::instant last_introduction;
+    /// The last packet that was carried to it, and the first of those without
+    /// a long pause between them.
+    support::instant last_used;
+    support::instant used_since;
     /// Openings sent to it since its last report.
     std::uint32_t openings_since_report = 0;
 };
 
+/// A ping to be sent.
+struct due_ping {
+    support::endpoint agent;
+    /// Whether it also names other processes.
+    bool introduces = false;
+};
+
 /// The agents that a balancer knows, from the store and from their own word.
 class member_table {
 public:
@@ -76,11 +99,14 @@
     /// An opening packet was sent to `agent`.
     void on_opening_sent(support::endpoint agent);
 
+    /// A packet was sent to `agent`.
+    void on_carried(support::instant now, support::endpoint agent);
+
     /// The process stood still: silence in that time says nothing.
     void on_resumed(support::instant now);
 
-    /// Agents to ping now; counts them as pinged.
-    std::vector<support::endpoint> due_for_ping(support::instant now);
+    /// Pings to send now; counts them as sent.
+    std::vector<due_ping> due_for_ping(support::instant now);
 
     /// Forgets members that have been gone for long.
     void tick(support::instant now);
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -73,6 +73,7 @@
     auto to = root.initPing();
     to.setSequence(body.sequence);
     to.setListed(static_cast<std::uint8_t>(body.listed));
+    to.setIntroduces(body.introduces);
     write_view(to.initView(), body.view);
     write_list(to.initBalancers(listed(body.balancers)), body.balancers);
 }
@@ -179,6 +180,7 @@
     body.sequence = from.getSequence();
     body.view = read_view(from.getView());
     body.listed = static_cast<listing>(from.getListed());
+    body.introduces = from.getIntroduces();
     if (!read_list(from.getBalancers(), body.balancers)) {
         return malformed("too many balancers");
     }
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -35,6 +35,7 @@
   view @1 :View;
   balancers @2 :List(UInt64);
   listed @3 :UInt8;
+  introduces @4 :Bool;
 }
 
 struct Pong {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -549,6 +549,8 @@
 
   inline  ::uint8_t getListed() const;
 
+  inline bool getIntroduces() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -598,6 +600,9 @@
   inline  ::uint8_t getListed();
   inline void setListed( ::uint8_t value);
 
+  inline bool getIntroduces();
+  inline void setIntroduces(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1744,6 +1749,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Ping::Reader::getIntroduces() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline bool Ping::Builder::getIntroduces() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void Ping::Builder::setIntroduces(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Pong::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/relay/agent_peers.cpp
+++ b/lib/relay/agent_peers.cpp
@@ -39,7 +39,8 @@
     answer.view = this->view.summary();
     answer.report = this->report();
     for (const auto& [other, heard] : this->balancers) {
-        if (other != from && answer.balancers.size() < peer::max_listed) {
+        if (body.introduces && other != from &&
+            answer.balancers.size() < peer::max_listed) {
             answer.balancers.push_back(other);
         }
     }
@@ -90,8 +91,7 @@
 
 /// Writes the lasting part of the report into the store.
 void agent::publish() {
-    if (this->monitor.condition() == peer::server_condition::gone &&
-        this->monitor.last_report().has_value() && this->stopping) {
+    if (this->monitor.has_left() && this->stopping) {
         this->registrar.set_wanted(std::nullopt);
         return;
     }
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -45,6 +45,12 @@
     return result;
 }
 
+steering::member_settings member_settings(const platform::settings& settings) {
+    steering::member_settings result;
+    result.own_data_centre = settings.data_centre;
+    return result;
+}
+
 steering::dispatcher_settings
 dispatcher_settings(const platform::settings& settings) {
     steering::dispatcher_settings result;
@@ -59,7 +65,7 @@
     : shell(std::move(chosen)), link(shell),
       view(shell, view_watch_time, [] {}),
       agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
-      members({}),
+      members(member_settings(shell.settings)),
       dispatcher(dispatcher_settings(shell.settings), members, view.rules()),
       control(shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
@@ -121,14 +127,18 @@
     peer::ping body;
     body.sequence = ++this->ping_sequence;
     body.view = this->view.summary();
+    const std::vector<support::endpoint> nobody;
+    std::vector<support::endpoint> others;
     for (const auto& [other, heard] : this->balancers) {
-        if (body.balancers.size() < peer::max_listed) {
-            body.balancers.push_back(other);
+        if (others.size() < peer::max_listed) {
+            others.push_back(other);
         }
     }
-    for (const support::endpoint agent : due) {
-        body.listed = this->listing_of(agent);
-        this->link.send(agent, body);
+    for (const steering::due_ping& each : due) {
+        body.listed = this->listing_of(each.agent);
+        body.introduces = each.introduces;
+        body.balancers = each.introduces ? others : nobody;
+        this->link.send(each.agent, body);
     }
     this->note_presence();
     this->give_up_lost();
--- a/lib/relay/balancer_packets.cpp
+++ b/lib/relay/balancer_packets.cpp
@@ -79,6 +79,10 @@
         body.packet = bytes;
         for (const support::endpoint agent : decided.to) {
             this->link.send(agent, body);
+            // A search asks agents that have nothing to do with the flow.
+            if (body.kind != peer::carry_kind::locate) {
+                this->members.on_carried(this->shell.now(), agent);
+            }
         }
     }
     this->schedule_search_tick();
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -9,8 +9,13 @@
     explicit implementation(member_settings chosen) : settings(chosen) {}
 
     member* add(support::instant now, const peer::agent_report& report);
+    bool is_in_use(const member& each) const;
+    support::duration interval_of(const member& each) const;
+    support::duration scaled(const member& each, support::duration limit) const;
+    void count_remote();
 
     member_settings settings;
+    std::size_t remote_count = 0;
     std::map<support::endpoint, member> members;
     support::instant resumed_at{INT64_MIN / 2};
 };
@@ -29,9 +34,59 @@
     added.first_seen = now;
     added.last_answer = now;
     added.last_ping = now - this->settings.absent_ping_interval;
+    added.last_introduction = now - this->settings.introduction_interval;
+    added.last_used = now - this->settings.use_time;
+    added.used_since = added.last_used;
+    this->count_remote();
     return &added;
 }
 
+void member_table::implementation::count_remote() {
+    this->remote_count = static_cast<std::size_t>(std::count_if(
+        this->members.begin(), this->members.end(), [this](const auto& entry) {
+            return entry.second.report.data_centre !=
+                   this->settings.own_data_centre;
+        }));
+}
+
+/// An agent stays in use until it has answered some time after the last
+/// packet, so a silent one is not asked less often again.
+bool member_table::implementation::is_in_use(const member& each) const {
+    return each.last_answer - each.last_used < this->settings.use_time;
+}
+
+/// Time between two pings of an agent that answers.
+support::duration
+member_table::implementation::interval_of(const member& each) const {
+    const support::duration least = this->settings.ping_interval;
+    const bool is_remote =
+        each.report.data_centre != this->settings.own_data_centre;
+    if (!is_remote || this->is_in_use(each)) {
+        return least;
+    }
+    constexpr double ms_per_second = 1000.0;
+    const double shared = static_cast<double>(this->remote_count) *
+                          ms_per_second /
+                          this->settings.remote_pings_per_second;
+    const auto wanted =
+        support::milliseconds(static_cast<std::int64_t>(shared));
+    return std::clamp(wanted, least, this->settings.longest_remote_interval);
+}
+
+/// A limit on silence, for the interval at which the agent is pinged.
+support::duration
+member_table::implementation::scaled(const member& each,
+                                     support::duration limit) const {
+    return {limit.ms * this->interval_of(each).ms /
+            this->settings.ping_interval.ms};
+}
+
+/// How long the agent has owed an answer. One that was pinged rarely until it
+/// came into use owes none from before.
+static support::duration silence_of(support::instant now, const member& each) {
+    return now - std::max(each.last_answer, each.used_since);
+}
+
 member_table::member_table(member_settings chosen)
     : self(std::make_unique<implementation>(chosen)) {}
 
@@ -74,6 +129,18 @@
     }
 }
 
+void member_table::on_carried(support::instant now, support::endpoint agent) {
+    const auto found = this->self->members.find(agent);
+    if (found == this->self->members.end()) {
+        return;
+    }
+    member& each = found->second;
+    if (!this->self->is_in_use(each)) {
+        each.used_since = now;
+    }
+    each.last_used = now;
+}
+
 void member_table::on_resumed(support::instant now) {
     this->self->resumed_at = now;
     for (auto& [agent, each] : this->self->members) {
@@ -82,18 +149,23 @@
     }
 }
 
-std::vector<support::endpoint>
-member_table::due_for_ping(support::instant now) {
+std::vector<due_ping> member_table::due_for_ping(support::instant now) {
     const member_settings& settings = this->self->settings;
-    std::vector<support::endpoint> due;
+    std::vector<due_ping> due;
     for (auto& [agent, each] : this->self->members) {
         const bool dark = now - each.last_answer > settings.forget_after / 4;
-        const support::duration interval =
-            dark ? settings.absent_ping_interval : settings.ping_interval;
-        if (now - each.last_ping >= interval) {
-            each.last_ping = now;
-            due.push_back(agent);
+        const support::duration interval = dark ? settings.absent_ping_interval
+                                                : this->self->interval_of(each);
+        if (now - each.last_ping < interval) {
+            continue;
         }
+        each.last_ping = now;
+        const bool introduces =
+            now - each.last_introduction >= settings.introduction_interval;
+        if (introduces) {
+            each.last_introduction = now;
+        }
+        due.push_back({agent, introduces});
     }
     return due;
 }
@@ -104,6 +176,7 @@
         const member& each = entry.second;
         return !each.listed && each.last_answer < limit;
     });
+    this->self->count_remote();
 }
 
 const member* member_table::find(support::endpoint agent) const {
@@ -116,8 +189,9 @@
 }
 
 bool member_table::is_present(support::instant now, const member& each) const {
-    return each.answered &&
-           now - each.last_answer <= this->self->settings.dark_after;
+    const support::duration limit =
+        this->self->scaled(each, this->self->settings.dark_after);
+    return each.answered && silence_of(now, each) <= limit;
 }
 
 bool member_table::is_connected(support::instant now) const {
@@ -133,9 +207,11 @@
 bool member_table::is_lost(support::instant now, const member& each) const {
     const member_settings& settings = this->self->settings;
     const support::duration limit =
-        each.report.restarting ? settings.restart_time : settings.lost_after;
-    return now - std::max(each.last_answer, this->self->resumed_at) > limit &&
-           this->is_connected(now);
+        each.report.restarting ? settings.restart_time
+                               : this->self->scaled(each, settings.lost_after);
+    const support::duration silence =
+        std::min(silence_of(now, each), now - this->self->resumed_at);
+    return silence > limit && this->is_connected(now);
 }
 
 bool member_table::takes_openings(support::instant now,
--- a/unittests/steering/member_table_test.cpp
+++ b/unittests/steering/member_table_test.cpp
@@ -104,6 +104,116 @@
     CHECK(pings == 10);
 }
 
+/// Pings sent to agents of data centre `place` in `span`, every agent
+/// answering each of them.
+static int count_pings(steering::member_table& members, std::int64_t begin,
+                       std::int64_t end, const char* place) {
+    int pings = 0;
+    for (std::int64_t now = begin; now < end; now += 50) {
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            const auto report = members.find(due.agent)->report;
+            pings += report.data_centre.value == place ? 1 : 0;
+            members.on_report({now}, report);
+        }
+    }
+    return pings;
+}
+
+TEST_CASE("pings to other data centres do not grow with the fleet") {
+    steering::member_settings settings;
+    settings.own_data_centre = {"a"};
+    for (const std::uint32_t size : {10U, 40U, 200U}) {
+        steering::member_table members(settings);
+        for (std::uint32_t i = 0; i < size; ++i) {
+            members.on_report({0}, report_of(i + 1, i % 3 == 0 ? "a" : "b"));
+        }
+        count_pings(members, 0, 5000, "b");
+        CAPTURE(size);
+        const double seconds = 10.0;
+        const double bound = std::max(
+            settings.remote_pings_per_second,
+            static_cast<double>(size) * 1000.0 /
+                static_cast<double>(settings.longest_remote_interval.ms));
+        CHECK(count_pings(members, 5000, 15'000, "b") <= bound * seconds);
+    }
+}
+
+TEST_CASE("agents of the own data centre are asked as often in any fleet") {
+    steering::member_settings settings;
+    settings.own_data_centre = {"a"};
+    steering::member_table members(settings);
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        members.on_report({0}, report_of(i + 1, i < 50 ? "a" : "b"));
+    }
+    CHECK(count_pings(members, 0, 10'000, "a") == 50 * 40);
+}
+
+TEST_CASE("an agent that is asked rarely is not taken for silent") {
+    steering::member_settings settings;
+    settings.own_data_centre = {"a"};
+    steering::member_table members(settings);
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        members.on_report({0}, report_of(i + 1, i < 50 ? "a" : "b"));
+    }
+    for (std::int64_t now = 0; now < 10'000; now += 50) {
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            members.on_report({now}, members.find(due.agent)->report);
+        }
+        for (const steering::member* each : members.all()) {
+            REQUIRE(members.is_present({now}, *each));
+            REQUIRE_FALSE(members.is_lost({now}, *each));
+        }
+    }
+}
+
+TEST_CASE("an agent in use is found silent as soon as in a small fleet") {
+    steering::member_settings settings;
+    settings.own_data_centre = {"a"};
+    steering::member_table members(settings);
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        members.on_report({0}, report_of(i + 1, i < 50 ? "a" : "b"));
+    }
+    const auto silent = agent_at(200);
+    std::int64_t dark_at = 0;
+    std::int64_t lost_at = 0;
+    for (std::int64_t now = 0; now < 10'000; now += 50) {
+        if (now >= 5000) {
+            members.on_carried({now}, silent);
+        }
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            if (due.agent != silent || now < 4000) {
+                members.on_report({now}, members.find(due.agent)->report);
+            }
+        }
+        const auto* each = members.find(silent);
+        if (dark_at == 0 && !members.is_present({now}, *each)) {
+            dark_at = now;
+        }
+        if (lost_at == 0 && members.is_lost({now}, *each)) {
+            lost_at = now;
+        }
+    }
+    CHECK(dark_at >= 5000);
+    CHECK(dark_at <= 5000 + settings.dark_after.ms + 50);
+    CHECK(lost_at <= 5000 + settings.lost_after.ms + 50);
+}
+
+TEST_CASE("what other processes there are is told at times only") {
+    steering::member_table members({});
+    members.on_report({0}, report_of(1));
+    int told = 0;
+    int pings = 0;
+    for (std::int64_t now = 0; now < 10'000; now += 50) {
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            ++pings;
+            told += due.introduces ? 1 : 0;
+            CHECK((now != 0 || due.introduces));
+        }
+    }
+    CHECK(pings == 40);
+    CHECK(told == 5);
+}
+
 TEST_CASE("agents that are gone are forgotten, listed ones are not") {
     steering::member_table members({});
     members.on_report({0}, report_of(1));
