Remove the entry of an agent whose server left before its first report

Cause: seen once in the new process test of a planned stop. The agent believed a leaving server only if it had its report; one that left between the agent's start and the next report left the agent's entry in the store for good. Ruled out: the store's answer (no removal was asked for). Believing every unknown leaver: a late word of an earlier start would reset flows of the server that runs. Before: entry still listed after the stop. After: removed; flows are only given up for a server that was known. Conclusion: unit tests of on_left(), which had none; the process test follows.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -95,8 +95,14 @@
     /// Takes a report in.
     report_effect on_report(support::instant now, const server_report& report);
 
-    /// The server says that it leaves for good.
-    void on_left(support::instant now);
+    /// The server of that id says that it leaves for good. Returns whether it
+    /// is the one whose reports are known.
+    bool on_left(const std::string& id);
+
+    /// Whether the server has gone, or has said so to an agent that knew no
+    /// report of it yet: a late word of an earlier start would look the same,
+    /// so flows must not be given up for the latter.
+    bool has_left() const;
 
     /// The server sent a packet.
     void on_server_packet(support::instant now);
@@ -141,6 +147,8 @@
     support::instant last_report_at;
     support::instant last_probe;
     std::optional<support::instant> unanswered_since;
+    /// Somebody unknown has said that it leaves, and nobody has reported yet.
+    bool unknown_left = false;
     /// Empty while it is not known when the server will be warm.
     std::optional<support::instant> warm_at;
     int silent_probes = 0;
--- a/lib/ownership/server_monitor.cpp
+++ b/lib/ownership/server_monitor.cpp
@@ -42,6 +42,7 @@
         }
     }
     this->last = report;
+    this->unknown_left = false;
     this->last_report_at = now;
     this->unanswered_since.reset();
     this->silent_probes = 0;
@@ -56,8 +57,20 @@
     return is_first ? report_effect::first : report_effect::updated;
 }
 
-void server_monitor::on_left(support::instant /*now*/) {
+bool server_monitor::on_left(const std::string& id) {
+    if (!this->last.has_value()) {
+        this->unknown_left = true;
+        return false;
+    }
+    if (this->last->id != id) {
+        return false;
+    }
     this->state = server_condition::gone;
+    return true;
+}
+
+bool server_monitor::has_left() const {
+    return this->state == server_condition::gone || this->unknown_left;
 }
 
 void server_monitor::on_server_packet(support::instant /*now*/) {
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -148,13 +148,14 @@
     }
     this->stopping = true;
     this->stopping_since = this->shell.now();
-    const bool server_left =
-        this->monitor.condition() == peer::server_condition::gone;
+    const bool server_left = this->monitor.has_left();
     logging::line line("stopping");
     line.add("server_left", server_left);
     this->shell.log(logging::level::info, "stopping", line);
     if (server_left) {
-        this->drop_flows();
+        if (this->monitor.condition() == peer::server_condition::gone) {
+            this->drop_flows();
+        }
         this->publish();
         this->ledger_writer.set_wanted(std::nullopt);
         this->shell.loop.call_after(leave_time, [this] { this->leave(); });
--- a/lib/relay/agent_server.cpp
+++ b/lib/relay/agent_server.cpp
@@ -144,9 +144,7 @@
 }
 
 http::response agent::on_call(const platform::leave_call& call) {
-    const auto& last = this->monitor.last_report();
-    if (last.has_value() && last->id == call.id) {
-        this->monitor.on_left(this->shell.now());
+    if (this->monitor.on_left(call.id)) {
         this->note_condition("left");
     }
     return platform::confirmation();
--- a/unittests/ownership/server_monitor_test.cpp
+++ b/unittests/ownership/server_monitor_test.cpp
@@ -138,3 +138,28 @@
     m.monitor.on_probe_accepted(m.now);
     CHECK(m.monitor.condition() == server_condition::ready);
 }
+
+TEST_CASE("a server that leaves is gone until it reports again") {
+    ownership::server_monitor monitor({}, {0});
+    monitor.on_report({10}, report(1, 1));
+    CHECK_FALSE(monitor.on_left("another"));
+    CHECK_FALSE(monitor.has_left());
+    CHECK(monitor.on_left(report(1, 1).id));
+    CHECK(monitor.condition() == server_condition::gone);
+    CHECK(monitor.has_left());
+    CHECK(monitor.on_report({20}, report(1, 2)) == report_effect::first);
+    CHECK_FALSE(monitor.has_left());
+}
+
+// An agent started between its server's last report and its end: its entry
+// stayed in the store for good.
+TEST_CASE("a server that leaves before any report counts as left, but its "
+          "flows are not given up") {
+    ownership::server_monitor monitor({}, {0});
+    monitor.on_probe_accepted({5});
+    CHECK_FALSE(monitor.on_left("unknown"));
+    CHECK(monitor.has_left());
+    CHECK(monitor.condition() == server_condition::ready);
+    monitor.on_report({10}, report(1, 1));
+    CHECK_FALSE(monitor.has_left());
+}
