--- /dev/null
+++ b/test/harness/platform_standins.py
@@ -0,0 +1,478 @@
+"""Stand-ins of the users' platform on loopback: the metadata store, backend
+servers and callers whose flows the system carries.
+
+Only what the platform's pages publish is spoken here. Every VM has a loopback
+address of its own and sees the store at one of its own, so that the store can
+treat VMs differently.
+"""
+
+import base64
+import http.client
+import json
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+SYN, ACK, FIN, RST, RETURNED = 16, 64, 8, 4, 128
+
+# sum, sender's port and address, receiver's, length, echo, sequence,
+# acknowledgement, flags, padding.
+HEADER = struct.Struct("<IHIHIHIIIBB")
+
+REPEAT_S = 0.2
+HANDSHAKE_S = 1.4
+
+
+def to_number(address):
+    return struct.unpack(">I", socket.inet_aton(address))[0]
+
+
+@dataclass
+class Packet:
+    source: tuple
+    target: tuple
+    flags: int
+    sequence: int = 0
+    acknowledged: int = 0
+    data: bytes = b""
+    checksum: int = 1
+
+    def encode(self):
+        head = HEADER.pack(
+            self.checksum,
+            self.source[1],
+            self.source[0],
+            self.target[1],
+            self.target[0],
+            len(self.data),
+            0,
+            self.sequence,
+            self.acknowledged,
+            self.flags,
+            0,
+        )
+        return head + self.data
+
+
+def decode(raw):
+    f = HEADER.unpack_from(raw)
+    return Packet(
+        (f[2], f[1]), (f[4], f[3]), f[9], f[7], f[8], raw[HEADER.size :], f[0]
+    )
+
+
+# ------------------------------------------------------------------ store
+
+
+@dataclass
+class StoreTrouble:
+    """How the store treats one VM."""
+
+    refuses: bool = False
+    # Writes get no answer and are done this much later.
+    late_writes_s: float = 0.0
+
+
+class Store:
+    """The store's items, changes and troubles; serves each VM at an address
+    of its own."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.revision = 1
+        self.history = []
+        self.first_kept = 0
+        self.trouble = {}
+        self.calls = {}
+        self.servers = []
+
+    def serve(self, vm, address, port):
+        """Serves the VM of that name at `address`."""
+        self.trouble[vm] = StoreTrouble()
+        self.calls[vm] = {"read": 0, "write": 0}
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                store.handle(vm, self, b"")
+
+            def do_POST(self):
+                size = int(self.headers.get("Content-Length", 0))
+                store.handle(vm, self, self.rfile.read(size))
+
+        server = ThreadingHTTPServer((address, port), Handler)
+        server.daemon_threads = True
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def close(self):
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
+
+    def put(self, key, value):
+        """Writes as an operator does."""
+        self._change([(key, value.encode())], [])
+
+    def delete(self, key):
+        self._change([], [key])
+
+    def forget_history(self):
+        with self.changed:
+            self.history = []
+            self.first_kept = self.revision
+
+    def keys(self, prefix):
+        with self.changed:
+            return [k for k in self.items if k.startswith(prefix)]
+
+    def _change(self, puts, deletes):
+        with self.changed:
+            for key, value in puts:
+                self.revision += 1
+                self.items[key] = (value, self.revision)
+                self.history.append((self.revision, key, value))
+            for key in deletes:
+                if self.items.pop(key, None) is not None:
+                    self.revision += 1
+                    self.history.append((self.revision, key, None))
+            self.changed.notify_all()
+            return self.revision
+
+    @staticmethod
+    def _item(key, value, revision):
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": revision,
+            "createRev": 1,
+            "lease": 0,
+        }
+
+    def handle(self, vm, request, body):
+        trouble = self.trouble[vm]
+        parts = urlsplit(request.path)
+        query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+        writes = request.command == "POST"
+        self.calls[vm]["write" if writes else "read"] += 1
+        if trouble.refuses:
+            self._answer(request, 503, {})
+            return
+        if writes and trouble.late_writes_s > 0:
+            threading.Timer(
+                trouble.late_writes_s, self._transact, [body]
+            ).start()
+            request.close_connection = True
+            return
+        if parts.path == "/api/kv-txn":
+            status, answer = 200, {"rev": self._transact(body)}
+        elif parts.path == "/api/kv-range":
+            status, answer = 200, self._range(query)
+        elif parts.path == "/api/kv-watch":
+            status, answer = self._watch(query, trouble)
+        else:
+            status, answer = 404, {}
+        self._answer(request, status, answer)
+
+    @staticmethod
+    def _answer(request, status, answer):
+        raw = json.dumps(answer).encode()
+        try:
+            request.send_response(status)
+            request.send_header("Content-Type", "application/json")
+            request.send_header("Content-Length", str(len(raw)))
+            request.end_headers()
+            request.wfile.write(raw)
+        except OSError:
+            request.close_connection = True
+
+    def _transact(self, body):
+        entries = json.loads(body)
+        puts = [
+            (p["key"], base64.b64decode(p["value"])) for p in entries["puts"]
+        ]
+        return self._change(puts, entries["delete"])
+
+    def _range(self, query):
+        with self.changed:
+            found = [
+                self._item(k, *self.items[k])
+                for k in sorted(self.items)
+                if k.startswith(query["prefix"]) and k > query.get("after", "")
+            ]
+            return {
+                "items": found,
+                "hasMore": False,
+                "currentRev": self.revision,
+            }
+
+    def _watch(self, query, trouble):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        with self.changed:
+            while True:
+                if after < self.first_kept:
+                    return 410, {}
+                events = [
+                    (
+                        self._item(k, v, r)
+                        if v is not None
+                        else {"key": k, "rev": r, "deleted": True}
+                    )
+                    for r, k, v in self.history
+                    if r > after and k.startswith(query["prefix"])
+                ]
+                left = end - time.monotonic()
+                if events or left <= 0 or trouble.refuses:
+                    return 200, {
+                        "events": events,
+                        "currentRev": self.revision,
+                    }
+                self.changed.wait(min(left, 0.2))
+
+
+# --------------------------------------------------------- backend server
+
+
+class BackendServer:
+    """One end of flows: answers each request with its own name."""
+
+    def __init__(self, name, service, address, ports, data_centre):
+        self.name = name
+        self.service = service
+        self.address = address
+        self.app = (address, ports["app"])
+        self.outbound = (address, ports["outbound"])
+        self.control = (address, ports["control"])
+        self.data_centre = data_centre
+        self.draining = False
+        self.running = True
+        self.flows = {}
+        self.openings = []
+        self.confirmed = []
+        self.born = int(time.time() * 1000)
+        self.reports = 0
+        self.packets = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.packets.bind(self.app)
+        self.packets.settimeout(0.1)
+        self.health = socket.create_server(self.app, backlog=16)
+        self.health.settimeout(0.1)
+        for work in (self._carry, self._report, self._listen):
+            threading.Thread(target=work, daemon=True).start()
+
+    def stop(self):
+        self.running = False
+        time.sleep(0.15)
+        self.packets.close()
+        self.health.close()
+
+    def _send(self, packet):
+        self.packets.sendto(packet.encode(), self.outbound)
+
+    def _carry(self):
+        while self.running:
+            try:
+                raw, _ = self.packets.recvfrom(2048)
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._take(decode(raw), raw)
+
+    def _take(self, packet, raw):
+        key = packet.source
+        if packet.flags & SYN:
+            if key not in self.flows:
+                self.flows[key] = {}
+                self.openings.append(time.monotonic())
+            self._send(
+                Packet(
+                    packet.target,
+                    key,
+                    SYN | ACK,
+                    sequence=self.born & 0xFFFF,
+                    acknowledged=packet.sequence + 1,
+                )
+            )
+            return
+        if key not in self.flows:
+            given_back = bytearray(raw)
+            given_back[30] |= RETURNED
+            given_back[31] = 0
+            self.packets.sendto(bytes(given_back), self.outbound)
+            return
+        if packet.data:
+            self._send(
+                Packet(
+                    packet.target,
+                    key,
+                    ACK,
+                    sequence=packet.acknowledged,
+                    acknowledged=packet.sequence + len(packet.data),
+                    data=packet.data + b" by " + self.name.encode(),
+                )
+            )
+
+    def _listen(self):
+        while self.running:
+            try:
+                self.health.accept()[0].close()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+
+    def _report(self):
+        while self.running:
+            self.report()
+            time.sleep(0.25)
+
+    def leave(self):
+        """Says that it leaves for good, and ends; True if confirmed."""
+        self.running = False
+        ok = self._call("deregister", "{}")
+        self.stop()
+        return ok
+
+    def report(self):
+        """Sends one status report; True if it was confirmed."""
+        self.reports += 1
+        state = "draining" if self.draining else "ready"
+        body = json.dumps(
+            {
+                "backend": self.service,
+                "address": f"{self.app[0]}:{self.app[1]}",
+                "zone": self.data_centre,
+                "version": "v1",
+                "capacity": 4,
+                "state": state,
+                "warmupLeftMs": 0,
+                "seq": self.reports,
+                "born": self.born,
+            }
+        )
+        ok = self._call("heartbeat", body)
+        if ok:
+            self.confirmed.append((time.monotonic(), state))
+        return ok
+
+    def _call(self, verb, body):
+        path = f"/api/instances/{self.name}/{verb}"
+        try:
+            link = http.client.HTTPConnection(*self.control, timeout=1)
+            link.request("POST", path, body)
+            ok = link.getresponse().status == 200
+            link.close()
+        except OSError:
+            return False
+        return ok
+
+
+# ----------------------------------------------------------------- callers
+
+
+@dataclass
+class Flow:
+    """A caller's open flow and what became of it."""
+
+    source: tuple
+    target: tuple
+    sequence: int
+    acknowledged: int = 0
+    servers: set = field(default_factory=set)
+    was_reset: bool = False
+
+
+class Caller:
+    """Opens flows and sends requests on them, through the balancers that the
+    router names."""
+
+    def __init__(self, address, port, router):
+        self.address = address
+        self.router = router
+        self.next_port = 20000
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, port))
+
+    def close(self):
+        self.socket.close()
+
+    def _exchange(self, flow, packet, wanted, limit_s):
+        """Sends `packet` until `wanted` accepts an answer; None if that does
+        not happen in time or the flow is reset."""
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            to = self.router(flow.source)
+            if to is not None:
+                self.socket.sendto(packet.encode(), to)
+            repeat = min(end, time.monotonic() + REPEAT_S)
+            while time.monotonic() < repeat:
+                self.socket.settimeout(max(0.001, repeat - time.monotonic()))
+                try:
+                    answer = decode(self.socket.recv(2048))
+                except TimeoutError:
+                    break
+                if answer.target != flow.source:
+                    continue
+                if answer.flags & RST:
+                    flow.was_reset = True
+                    return None
+                if wanted(answer):
+                    return answer
+        return None
+
+    def open(self, target, limit_s=HANDSHAKE_S):
+        """An open flow to `target`, or None."""
+        self.next_port += 1
+        source = (to_number(self.address), self.next_port)
+        flow = Flow(source, (to_number(target[0]), target[1]), 1000)
+        first = Packet(source, flow.target, SYN, sequence=999)
+        answer = self._exchange(
+            flow, first, lambda a: a.flags & SYN and a.flags & ACK, limit_s
+        )
+        if answer is None:
+            return None
+        flow.acknowledged = answer.sequence + 1
+        return flow
+
+    def open_until(self, target, limit_s):
+        """Opens flows until one opens; returns it and the seconds taken."""
+        start = time.monotonic()
+        while time.monotonic() - start < limit_s:
+            flow = self.open(target)
+            if flow is not None:
+                return flow, time.monotonic() - start
+            time.sleep(0.05)
+        return None, limit_s
+
+    def ask(self, flow, text, limit_s=5.0):
+        """The name of the server that answered `text`, or None."""
+        data = text.encode()
+        packet = Packet(
+            flow.source,
+            flow.target,
+            ACK,
+            flow.sequence,
+            flow.acknowledged,
+            data,
+        )
+        answer = self._exchange(
+            flow, packet, lambda a: a.data.startswith(data + b" by "), limit_s
+        )
+        if answer is None:
+            return None
+        flow.sequence += len(data)
+        flow.acknowledged = answer.sequence + len(answer.data)
+        server = answer.data[len(data) + 4 :].decode()
+        flow.servers.add(server)
+        return server
--- a/test/harness/processes.py
+++ b/test/harness/processes.py
@@ -31,8 +31,8 @@
     return True
 
 
-def free_endpoint():
-    """A loopback endpoint free for UDP and TCP, given out only once."""
+def free_port():
+    """A loopback port free for UDP and TCP, given out only once."""
     while True:
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
             probe.bind((LOOPBACK, 0))
@@ -40,7 +40,12 @@
         if port in _given_ports or not _is_free(port, socket.SOCK_DGRAM):
             continue
         _given_ports.add(port)
-        return f"{LOOPBACK}:{port}"
+        return port
+
+
+def free_endpoint():
+    """A loopback endpoint free for UDP and TCP, given out only once."""
+    return f"{LOOPBACK}:{free_port()}"
 
 
 def wait_until(condition, timeout_s, what):
@@ -110,7 +115,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.started = []
 
-    def start(self, name, words, admin="", **details):
+    def start(self, name, words, admin="", environment=None, **details):
         log = self.folder / f"{name}.log"
         with open(log, "wb") as out:
             handle = subprocess.Popen(
@@ -118,7 +123,11 @@
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, "ASAN_OPTIONS": "detect_leaks=0"},
+                env={
+                    **os.environ,
+                    "ASAN_OPTIONS": "detect_leaks=0",
+                    **(environment or {}),
+                },
             )
         process = Process(name, handle, log, admin, details)
         self.started.append(process)
