Check the platform's settings by command and by role

Cause: `guavastair check` did not take the platform's files, and an agent without its server's address or service was only found out when a socket could not be bound. Process tests print up to 400 log lines of each process of a failed test, so that a failure that does not come again can be traced. Before: an agent's file without these keys was taken. After: refused (test).

--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -225,7 +225,7 @@
 }
 
 absl::Status run_agent() {
-    auto settings = platform::load_settings();
+    auto settings = platform::load_settings(platform::process_role::agent);
     if (!settings.ok()) {
         return settings.status();
     }
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -316,7 +316,7 @@
 }
 
 absl::Status run_balancer() {
-    auto settings = platform::load_settings();
+    auto settings = platform::load_settings(platform::process_role::balancer);
     if (!settings.ok()) {
         return settings.status();
     }
--- a/lib/relay/process.cpp
+++ b/lib/relay/process.cpp
@@ -91,7 +91,7 @@
 
 void process::reload(absl::string_view cause) {
     this->settings_written = settings_file_time();
-    auto read = platform::load_settings();
+    auto read = platform::load_settings(this->settings.role);
     logging::line line("reload");
     line.add("cause", cause);
     if (!read.ok()) {
--- a/test/harness/case.py
+++ b/test/harness/case.py
@@ -10,6 +10,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 CALLER_END_WAIT_S = 90.0
+LOGGED_LINES = 400
 
 
 class DeploymentCase(unittest.TestCase):
@@ -38,9 +39,10 @@
         return any(test is self for test, _ in problems)
 
     def _print_logs(self):
-        """The end of each process's log, for the reader of a failure."""
+        """The end of each process's log, for the reader of a failure that
+        may not come again."""
         for process in self.deployment.group.started:
-            lines = process.log_text().splitlines()[-15:]
+            lines = process.log_text().splitlines()[-LOGGED_LINES:]
             print(f"--- {process.name} (exit {process.handle.poll()})")
             print("\n".join(lines))
 
--- a/tools/guavastair/commands.cpp
+++ b/tools/guavastair/commands.cpp
@@ -88,6 +88,7 @@
             run_check},
     platform_balancer_command(),
     platform_agent_command(),
+    platform_check_command(),
     command{"version", "", 0, 0, "shows the version", {}, run_version},
 };
 
--- a/tools/guavastair/commands.hpp
+++ b/tools/guavastair/commands.hpp
@@ -32,6 +32,9 @@
 command platform_balancer_command();
 command platform_agent_command();
 
+/// Checks the settings files of those roles.
+command platform_check_command();
+
 absl::Status run_version(std::span<const std::string> arguments);
 
 /// Checks settings and documents without a store.
--- a/tools/guavastair/platform_commands.cpp
+++ b/tools/guavastair/platform_commands.cpp
@@ -1,7 +1,13 @@
 #include "commands.hpp"
+#include "settings.hpp"
 
 #include <guavastair/relay.hpp>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <iostream>
+
 namespace guavastair::tool {
 
 static absl::Status
@@ -14,6 +20,43 @@
     return relay::run_agent();
 }
 
+/// Checks settings files of the platform for the role that stands first, and
+/// reports every problem of all of them together.
+static absl::Status run_platform_check(std::span<const std::string> arguments) {
+    const auto role = platform::parse_process_role(arguments[0]);
+    if (!role.has_value()) {
+        return support::make_error(
+            support::error_kind::invalid_input,
+            absl::StrCat("found role \"", arguments[0],
+                         "\": allowed are balancer, agent"));
+    }
+    std::vector<std::string> problems;
+    for (const std::string& file : arguments.subspan(1)) {
+        const auto read = platform::load_settings(*role, file);
+        if (read.ok()) {
+            std::cout << file << ": ok\n";
+        } else {
+            problems.emplace_back(read.status().message());
+        }
+    }
+    if (problems.empty()) {
+        return absl::OkStatus();
+    }
+    return support::make_error(support::error_kind::invalid_input,
+                               absl::StrJoin(problems, "\n"));
+}
+
+command platform_check_command() {
+    constexpr std::size_t max_checked_files = 10'000;
+    return {"platform check",
+            "balancer|agent FILE...",
+            2,
+            max_checked_files,
+            "checks the platform's settings files and lists every error",
+            {},
+            run_platform_check};
+}
+
 command platform_balancer_command() {
     return {"platform balancer",
             "",
--- a/tools/guavastair/platform_table.cpp
+++ b/tools/guavastair/platform_table.cpp
@@ -8,6 +8,7 @@
 static const std::array commands{
     platform_balancer_command(),
     platform_agent_command(),
+    platform_check_command(),
     command{"version", "", 0, 0, "shows the version", {}, run_version},
 };
 
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -1,5 +1,6 @@
 #include "settings.hpp"
 
+#include <absl/strings/match.h>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -36,13 +37,15 @@
 address = "10.200.0.1:8169"
 )";
 
+static constexpr auto role = platform::process_role::agent;
+
 static std::string changed(const std::string& from, const std::string& to) {
     std::string text = agent_settings;
     return text.replace(text.find(from), from.size(), to);
 }
 
 static std::string error_of(const std::string& text) {
-    const auto read = platform::parse_settings(text, "boot.toml");
+    const auto read = platform::parse_settings(role, text, "boot.toml");
     REQUIRE_FALSE(read.ok());
     CHECK(support::kind_of(read.status()) ==
           support::error_kind::invalid_input);
@@ -50,7 +53,8 @@
 }
 
 TEST_CASE("the settings of an agent are read, unknown keys are ignored") {
-    const auto read = platform::parse_settings(agent_settings, "boot.toml");
+    const auto read =
+        platform::parse_settings(role, agent_settings, "boot.toml");
     REQUIRE(read.ok());
     CHECK(read->node.value == "side-1");
     CHECK(read->data_centre.value == "z-a");
@@ -67,7 +71,9 @@
 
 TEST_CASE("a balancer has no server") {
     const auto read = platform::parse_settings(
-        changed("app = \"10.0.0.9:8165\"\nbackend = \"b1\"", ""), "boot.toml");
+        platform::process_role::balancer,
+        changed("app = \"10.0.0.9:8165\"\nbackend = \"b1\"", ""),
+        "boot.toml");
     REQUIRE(read.ok());
     CHECK(read->server.port == 0);
     CHECK(read->service.value.empty());
@@ -102,11 +108,12 @@
 }
 
 TEST_CASE("new settings are taken up unless addresses change") {
-    const auto before = platform::parse_settings(agent_settings, "boot.toml");
+    const auto before =
+        platform::parse_settings(role, agent_settings, "boot.toml");
     const auto seeds = platform::parse_settings(
-        changed("\"10.0.0.1:8100\"", "\"10.0.0.3:8100\""), "boot.toml");
+        role, changed("\"10.0.0.1:8100\"", "\"10.0.0.3:8100\""), "boot.toml");
     const auto moved = platform::parse_settings(
-        changed("10.0.0.9:8162", "10.0.0.9:8163"), "boot.toml");
+        role, changed("10.0.0.9:8162", "10.0.0.9:8163"), "boot.toml");
     REQUIRE(seeds.ok());
     REQUIRE(moved.ok());
     CHECK(platform::can_reload(*before, *seeds));
@@ -126,3 +133,22 @@
 TEST_CASE("broken TOML names the line") {
     CHECK(error_of("a = 1\nb = ").find("line 2") != std::string::npos);
 }
+
+TEST_CASE("an agent needs its server's keys, a balancer does not") {
+    const std::string without = changed("app = ", "other = ");
+    const auto agent = platform::parse_settings(role, without, "boot.toml");
+    REQUIRE_FALSE(agent.ok());
+    CHECK(absl::StrContains(agent.status().message(),
+                            "app: found nothing: allowed is"));
+    CHECK(platform::parse_settings(platform::process_role::balancer, without,
+                                   "boot.toml")
+              .ok());
+}
+
+TEST_CASE("roles have names") {
+    for (const auto each :
+         {platform::process_role::balancer, platform::process_role::agent}) {
+        CHECK(platform::parse_process_role(to_string(each)) == each);
+    }
+    CHECK_FALSE(platform::parse_process_role("router").has_value());
+}
