Bound the lists of flows that all agents together write

Cause: each agent wrote its list at most every 3 s, however many agents share the store: 75 writes a second at 225 agents. Ruled out: fewer writes for everybody (the lists are what resets lost flows after a loss of power; they lose their worth with age). Change: pings say how many agents there are; all of them together write at most 13 lists a second, so up to 39 agents write as before. Before: writes grow with the fleet. After: bounded (test at 10 to 2,000 agents).

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -383,8 +383,11 @@
 // --------------------------------------------------------- flow ledger
 
 struct ledger_settings {
-    /// Least time between two writes; longer where many agents share a store.
+    /// Least time between two writes.
     support::duration write_interval = support::seconds(3);
+    /// Most writes a second of all agents together: more agents write less
+    /// often each. Writes are the dearest calls to a store that all share.
+    double fleet_writes_per_second = 13.0;
     /// Flows that end sooner are not worth a write.
     support::duration least_age = support::milliseconds(1000);
     /// A caller's acknowledgement may have moved by so much before the list is
@@ -404,6 +407,9 @@
 public:
     flow_ledger(ledger_settings chosen, support::instant now);
 
+    /// So many agents share the store, this one included.
+    void set_fleet_size(std::size_t agents);
+
     /// Whether enough time has passed since the last write.
     bool is_due(support::instant now) const;
 
@@ -431,6 +437,7 @@
     bool is_worth_writing(const peer::flow_list& list) const;
 
     ledger_settings settings;
+    support::duration interval;
     support::instant started;
     support::instant last_write;
     std::optional<peer::flow_list> written;
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -104,6 +104,8 @@
     view_summary view;
     /// Whether the store lists the receiver, as far as the sender knows.
     listing listed = listing::unknown;
+    /// Agents that the sender knows.
+    std::uint32_t agents = 0;
     /// Whether the sender wants to hear of other balancers and names those
     /// that it knows.
     bool introduces = false;
--- a/lib/ownership/flow_ledger.cpp
+++ b/lib/ownership/flow_ledger.cpp
@@ -11,7 +11,17 @@
 }
 
 flow_ledger::flow_ledger(ledger_settings chosen, support::instant now)
-    : settings(chosen), started(now), last_write(now) {}
+    : settings(chosen), interval(chosen.write_interval), started(now),
+      last_write(now) {}
+
+void flow_ledger::set_fleet_size(std::size_t agents) {
+    constexpr double ms_per_second = 1000.0;
+    const double shared = static_cast<double>(agents) * ms_per_second /
+                          this->settings.fleet_writes_per_second;
+    this->interval =
+        std::max(this->settings.write_interval,
+                 support::milliseconds(static_cast<std::int64_t>(shared)));
+}
 
 bool flow_ledger::is_worth_writing(const peer::flow_list& list) const {
     if (!this->written.has_value()) {
@@ -35,7 +45,7 @@
 }
 
 bool flow_ledger::is_due(support::instant now) const {
-    return now - this->last_write >= this->settings.write_interval;
+    return now - this->last_write >= this->interval;
 }
 
 std::optional<peer::flow_list>
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -74,6 +74,7 @@
     to.setSequence(body.sequence);
     to.setListed(static_cast<std::uint8_t>(body.listed));
     to.setIntroduces(body.introduces);
+    to.setAgents(body.agents);
     write_view(to.initView(), body.view);
     write_list(to.initBalancers(listed(body.balancers)), body.balancers);
 }
@@ -181,6 +182,7 @@
     body.view = read_view(from.getView());
     body.listed = static_cast<listing>(from.getListed());
     body.introduces = from.getIntroduces();
+    body.agents = from.getAgents();
     if (!read_list(from.getBalancers(), body.balancers)) {
         return malformed("too many balancers");
     }
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -36,6 +36,7 @@
   balancers @2 :List(UInt64);
   listed @3 :UInt8;
   introduces @4 :Bool;
+  agents @5 :UInt32;
 }
 
 struct Pong {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -88,7 +88,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b00c8b7062e4e66e, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b00c8b7062e4e66e, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -551,6 +551,8 @@
 
   inline bool getIntroduces() const;
 
+  inline  ::uint32_t getAgents() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -603,6 +605,9 @@
   inline bool getIntroduces();
   inline void setIntroduces(bool value);
 
+  inline  ::uint32_t getAgents();
+  inline void setAgents( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1763,6 +1768,20 @@
       ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Ping::Reader::getAgents() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Ping::Builder::getAgents() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Ping::Builder::setAgents( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Pong::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/relay/agent_peers.cpp
+++ b/lib/relay/agent_peers.cpp
@@ -26,6 +26,7 @@
         this->shell.log(logging::level::info, "balancer_found", line);
     }
     this->view.on_peer_view(from, body.view);
+    this->ledger.set_fleet_size(body.agents);
     this->note_listing(body.listed);
     for (const support::endpoint other : body.balancers) {
         if (this->balancers.count(other) == 0) {
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -127,6 +127,7 @@
     peer::ping body;
     body.sequence = ++this->ping_sequence;
     body.view = this->view.summary();
+    body.agents = static_cast<std::uint32_t>(this->members.size());
     const std::vector<support::endpoint> nobody;
     std::vector<support::endpoint> others;
     for (const auto& [other, heard] : this->balancers) {
--- a/unittests/ownership/flow_ledger_test.cpp
+++ b/unittests/ownership/flow_ledger_test.cpp
@@ -101,3 +101,26 @@
     }
     CHECK(ledger.on_server_absent({12'000}).empty());
 }
+
+// Load: every agent's flows change all the time, in fleets of any size.
+TEST_CASE("all agents together write a bounded number of lists") {
+    const ownership::ledger_settings settings;
+    for (const std::size_t agents : {10U, 40U, 225U, 2000U}) {
+        ownership::flow_ledger ledger(settings, {0});
+        ledger.set_fleet_size(agents);
+        int writes = 0;
+        std::uint16_t port = 0;
+        const std::int64_t seconds = 600;
+        for (std::int64_t now = 0; now < seconds * 1000; now += 100) {
+            const bool wrote =
+                ledger.next_write({now}, {listed(++port)}, server(7))
+                    .has_value();
+            writes += wrote ? 1 : 0;
+        }
+        CAPTURE(agents);
+        CHECK(writes > 0);
+        CHECK(static_cast<double>(writes) * static_cast<double>(agents) <=
+              settings.fleet_writes_per_second * static_cast<double>(seconds));
+        CHECK(writes <= seconds * 1000 / settings.write_interval.ms);
+    }
+}
--- a/unittests/peer/codec_test.cpp
+++ b/unittests/peer/codec_test.cpp
@@ -55,6 +55,7 @@
                      {*rc::gen::arbitrary<std::int64_t>()},
                      *rc::gen::arbitrary<std::uint64_t>()};
         ping.listed = peer::listing::present;
+        ping.agents = *rc::gen::arbitrary<std::uint32_t>();
         ping.introduces = *rc::gen::arbitrary<bool>();
         ping.balancers = endpoints();
         const encoded first = encode(ping);
