Take entries of agents that are gone for good out of the store

Cause: entries hang on no lease, and only an agent whose server left removes its own; a VM taken away without that left its entry and its list of flows for ever, and every balancer pinged it once a second for ever. Ruled out: leases (weighed in design 0010: an entry may vanish while its agent lives); removal by agents (they do not ping each other). Change: a balancer that knows the whole list and hears most agents removes the entry of one that has been silent for ten minutes, unless the entry has changed meanwhile; balancers take turns by chance. Before: 0 entries removed after any time. After: unit tests for the decision (cut off, stood still, back again) and the conditional removal.

--- a/include/guavastair/registry.hpp
+++ b/include/guavastair/registry.hpp
@@ -83,6 +83,10 @@
     virtual void put(const std::string& key, const std::string& value,
                      done call) = 0;
     virtual void remove(const std::string& key, done call) = 0;
+    /// Removes `key` only if it was last changed by `modified`; fails with
+    /// error_kind::revision_conflict otherwise.
+    virtual void remove_unchanged(const std::string& key,
+                                  support::revision modified, done call) = 0;
 };
 
 // ------------------------------------------------------------- backoff
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -53,6 +53,9 @@
     support::duration restart_time = support::seconds(8);
     /// How long an agent that is neither listed nor answering is remembered.
     support::duration forget_after = support::seconds(60);
+    /// Silence after which an agent's entry is taken out of the store: longer
+    /// than a VM is away that comes back.
+    support::duration abandoned_after = support::seconds(600);
     std::size_t max_members = 4096;
 };
 
@@ -111,6 +114,10 @@
     /// Forgets members that have been gone for long.
     void tick(support::instant now);
 
+    /// Listed agents that have been silent for so long that their VMs are
+    /// gone for good. None while this process is cut off from most agents.
+    std::vector<support::endpoint> abandoned(support::instant now) const;
+
     const member* find(support::endpoint agent) const;
     std::size_t size() const;
 
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -65,7 +65,7 @@
     : shell(std::move(chosen)), link(shell),
       view(shell, view_watch_time, [] {}),
       agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
-      members(member_settings(shell.settings)),
+      cleaner(shell), members(member_settings(shell.settings)),
       dispatcher(dispatcher_settings(shell.settings), members, view.rules()),
       control(shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
@@ -172,6 +172,24 @@
     }
 }
 
+/// Takes the entry of one agent whose VM is gone for good out of the store.
+/// Balancers take turns by chance, so that not all of them ask for the same.
+void balancer::remove_abandoned() {
+    if (!this->knows_all_agents() || this->cleaner.is_busy()) {
+        return;
+    }
+    const auto gone = this->members.abandoned(this->shell.now());
+    if (gone.empty() ||
+        this->shell.random() % (this->balancers.size() + 1) != 0) {
+        return;
+    }
+    const auto& entries = this->agents.state().entries();
+    const auto entry = entries.find(platform::agent_key(gone.front()));
+    if (entry != entries.end()) {
+        this->cleaner.remove(gone.front(), entry->second.modified);
+    }
+}
+
 void balancer::note_presence() {
     const support::instant now = this->shell.now();
     for (const steering::member* each : this->members.all()) {
@@ -296,6 +314,7 @@
         const support::instant now = this->shell.now();
         this->members.tick(now);
         this->dispatcher.tick(now);
+        this->remove_abandoned();
         std::erase_if(this->balancers, [now](const auto& entry) {
             return now - entry.second > balancer_lifetime;
         });
--- a/lib/relay/balancer.hpp
+++ b/lib/relay/balancer.hpp
@@ -48,6 +48,7 @@
     void schedule_search_tick();
     void note_presence();
     void give_up_lost();
+    void remove_abandoned();
     void add_metrics();
     http::response answer(const http::request& ask);
     bool is_ready() const;
@@ -58,6 +59,7 @@
     peer_link link;
     view_keeper view;
     follower_driver agents;
+    cleaner_driver cleaner;
     steering::member_table members;
     steering::dispatcher dispatcher;
     http::server control;
--- a/lib/relay/store_drivers.cpp
+++ b/lib/relay/store_drivers.cpp
@@ -1,6 +1,8 @@
+#include "operator_documents.hpp"
 #include "store_drivers.hpp"
 
 #include <algorithm>
+#include <cassert>
 
 namespace guavastair::relay {
 
@@ -156,4 +158,44 @@
     this->go_on();
 }
 
+cleaner_driver::cleaner_driver(process& chosen)
+    : owner(chosen),
+      client(chosen.loop, client_settings(chosen), chosen.store_calls) {}
+
+void cleaner_driver::remove(support::endpoint agent,
+                            support::revision modified) {
+    assert(!this->busy && "remove() while busy");
+    this->busy = true;
+    logging::line line("entry_abandoned");
+    line.add("agent", agent).add("modified", modified.value);
+    this->owner.log(logging::level::warn, "entry_abandoned", line);
+    this->client.remove_unchanged(
+        platform::agent_key(agent), modified,
+        [this, agent](const absl::Status& status) {
+            if (!status.ok()) {
+                this->ended(agent, status);
+                return;
+            }
+            this->client.remove(platform::flows_key(agent),
+                                [this, agent](const absl::Status& last) {
+                                    this->ended(agent, last);
+                                });
+        });
+}
+
+void cleaner_driver::ended(support::endpoint agent,
+                           const absl::Status& status) {
+    this->busy = false;
+    if (status.ok()) {
+        return;
+    }
+    logging::line line("removal_failed");
+    line.add("agent", agent).add("why", status.message());
+    this->owner.log(logging::level::warn, "removal_failed", line);
+}
+
+bool cleaner_driver::is_busy() const {
+    return this->busy;
+}
+
 } // namespace guavastair::relay
--- a/lib/relay/store_drivers.hpp
+++ b/lib/relay/store_drivers.hpp
@@ -64,6 +64,24 @@
     bool was_failing = false;
 };
 
+/// Takes what agents that are gone for good have left out of the store.
+class cleaner_driver {
+public:
+    explicit cleaner_driver(process& chosen);
+
+    /// Removes the agent's entry, unless it has changed since `modified`, and
+    /// then its list of flows. Only while not busy.
+    void remove(support::endpoint agent, support::revision modified);
+    bool is_busy() const;
+
+private:
+    void ended(support::endpoint agent, const absl::Status& status);
+
+    process& owner;
+    platform::store_client client;
+    bool busy = false;
+};
+
 } // namespace guavastair::relay
 
 #endif
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -179,6 +179,22 @@
     this->self->count_remote();
 }
 
+std::vector<support::endpoint>
+member_table::abandoned(support::instant now) const {
+    std::vector<support::endpoint> found;
+    if (!this->is_connected(now)) {
+        return found;
+    }
+    for (const auto& [agent, each] : this->self->members) {
+        const support::instant heard =
+            std::max(each.last_answer, this->self->resumed_at);
+        if (each.listed && now - heard > this->self->settings.abandoned_after) {
+            found.push_back(agent);
+        }
+    }
+    return found;
+}
+
 const member* member_table::find(support::endpoint agent) const {
     const auto found = this->self->members.find(agent);
     return found == this->self->members.end() ? nullptr : &found->second;
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -72,8 +72,7 @@
 TEST_CASE("a balancer has no server") {
     const auto read = platform::parse_settings(
         platform::process_role::balancer,
-        changed("app = \"10.0.0.9:8165\"\nbackend = \"b1\"", ""),
-        "boot.toml");
+        changed("app = \"10.0.0.9:8165\"\nbackend = \"b1\"", ""), "boot.toml");
     REQUIRE(read.ok());
     CHECK(read->server.port == 0);
     CHECK(read->service.value.empty());
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -58,6 +58,13 @@
         return this->wait(got);
     }
 
+    absl::Status remove(const std::string& key, support::revision modified) {
+        std::optional<absl::Status> got;
+        this->client.remove_unchanged(
+            key, modified, [&got](const absl::Status& s) { got = s; });
+        return this->wait(got);
+    }
+
     std::uint64_t made(platform::call_kind kind) const {
         return this->counts.made[static_cast<std::size_t>(kind)];
     }
@@ -163,6 +170,19 @@
     CHECK(recovered);
 }
 
+TEST_CASE("an entry is removed only if it has not changed since") {
+    world w;
+    REQUIRE(w.put("agents/10.0.0.1:7000", "old").ok());
+    const auto seen = w.list("agents/")->entries.front().modified;
+    REQUIRE(w.put("agents/10.0.0.1:7000", "new").ok());
+    CHECK(support::kind_of(w.remove("agents/10.0.0.1:7000", seen)) ==
+          error_kind::revision_conflict);
+    const auto now = w.list("agents/")->entries.front().modified;
+    CHECK(w.store.value_of("agents/10.0.0.1:7000") == "new");
+    CHECK(w.remove("agents/10.0.0.1:7000", now).ok());
+    CHECK(w.list("agents/")->entries.empty());
+}
+
 TEST_CASE("keys are escaped in queries") {
     world w;
     REQUIRE(w.put("x/a&b=c d%", "1").ok());
--- a/unittests/platform/store_standin.cpp
+++ b/unittests/platform/store_standin.cpp
@@ -142,9 +142,18 @@
                         "],\"currentRev\":", this->revision, "}");
 }
 
-std::string store_standin::change(const std::string& body) {
+std::string store_standin::change(const std::string& body, int& status) {
     rapidjson::Document parsed;
     parsed.Parse(body.data(), body.size());
+    for (const auto& row : parsed["precondition"].GetArray()) {
+        const auto found = this->items.find(row["key"].GetString());
+        const std::int64_t present =
+            found == this->items.end() ? 0 : found->second.revision;
+        if (present != row["rev"].GetInt64()) {
+            status = 412;
+            return "{\"items\":[]}";
+        }
+    }
     for (const auto& put : parsed["puts"].GetArray()) {
         std::string value;
         absl::Base64Unescape(put["value"].GetString(), &value);
@@ -172,7 +181,7 @@
         return this->watch(target, status);
     }
     if (method == "POST" && target == "/api/kv-txn") {
-        return this->change(body);
+        return this->change(body, status);
     }
     status = 404;
     return "{}";
--- a/unittests/platform/store_standin.hpp
+++ b/unittests/platform/store_standin.hpp
@@ -63,7 +63,7 @@
                        const std::string& body, int& status);
     std::string list(const std::string& target);
     std::string watch(const std::string& target, int& status);
-    std::string change(const std::string& body);
+    std::string change(const std::string& body, int& status);
     std::string item_text(const std::string& key) const;
 
     int listener = -1;
--- a/unittests/steering/member_table_test.cpp
+++ b/unittests/steering/member_table_test.cpp
@@ -226,6 +226,41 @@
     CHECK(members.find(agent_at(2)) != nullptr);
 }
 
+// VMs are replaced for months: entries of those gone for good piled up.
+TEST_CASE("an entry is abandoned after a long silence while others answer") {
+    const steering::member_settings settings;
+    steering::member_table members(settings);
+    const std::vector listed{report_of(1), report_of(2), report_of(3)};
+    const std::int64_t limit = settings.abandoned_after.ms;
+    members.set_listed({0}, listed);
+    for (std::int64_t now = 0; now <= limit; now += 500) {
+        members.on_report({now}, report_of(1));
+        members.on_report({now}, report_of(3));
+        REQUIRE(members.abandoned({now}).empty());
+    }
+    members.on_report({limit + 500}, report_of(1));
+    members.on_report({limit + 500}, report_of(3));
+    CHECK(members.abandoned({limit + 500}) == std::vector{agent_at(2)});
+    members.on_report({limit + 600}, report_of(2));
+    CHECK(members.abandoned({limit + 600}).empty());
+}
+
+TEST_CASE("no entry is abandoned by a process that is cut off or stood still") {
+    const steering::member_settings settings;
+    const std::int64_t late = settings.abandoned_after.ms * 2;
+    steering::member_table members(settings);
+    const std::vector listed{report_of(1), report_of(2), report_of(3)};
+    members.set_listed({0}, listed);
+    for (const std::uint32_t i : {1U, 2U, 3U}) {
+        members.on_report({0}, report_of(i));
+    }
+    CHECK(members.abandoned({late}).empty());
+    members.on_resumed({late});
+    members.on_report({late}, report_of(1));
+    members.on_report({late}, report_of(3));
+    CHECK(members.abandoned({late}).empty());
+}
+
 TEST_CASE("the table is bounded") {
     steering::member_settings settings;
     settings.max_members = 2;
