--- a/lib/relay/agent_server.cpp
+++ b/lib/relay/agent_server.cpp
@@ -130,11 +130,18 @@
                                 "the report is of another server"));
     }
     const support::instant now = this->shell.now();
+    const auto before = this->monitor.last_report();
     const ownership::report_effect effect =
         this->monitor.on_report(now, call.report);
     this->reset_flows(this->ledger.on_report(now, call.report),
                       "server_restarted");
     if (effect == ownership::report_effect::restarted) {
+        logging::line line("server_restarted");
+        line.add("server", call.report.id)
+            .add("born", call.report.born)
+            .add("before", before->id)
+            .add("born_before", before->born);
+        this->shell.log(logging::level::warn, "server_restarted", line);
         this->drop_flows();
         this->owner.set_complete();
     }
--- a/test/harness/platform_standins.py
+++ b/test/harness/platform_standins.py
@@ -256,6 +256,8 @@
         self.control = (address, ports["control"])
         self.data_centre = data_centre
         self.draining = False
+        # A stalled server takes requests and does not answer them.
+        self.stalled = False
         self.running = True
         self.flows = {}
         self.openings = []
@@ -311,7 +313,7 @@
             given_back[31] = 0
             self.packets.sendto(bytes(given_back), self.outbound)
             return
-        if packet.data:
+        if packet.data and not self.stalled:
             self._send(
                 Packet(
                     packet.target,
@@ -455,6 +457,19 @@
             time.sleep(0.05)
         return None, limit_s
 
+    def send(self, flow, text):
+        """Sends `text` as a request and waits for nothing."""
+        to = self.router(flow.source)
+        packet = Packet(
+            flow.source,
+            flow.target,
+            ACK,
+            flow.sequence,
+            flow.acknowledged,
+            text.encode(),
+        )
+        self.socket.sendto(packet.encode(), to)
+
     def ask(self, flow, text, limit_s=5.0):
         """The name of the server that answered `text`, or None."""
         data = text.encode()
--- /dev/null
+++ b/test/operations_test.py
@@ -0,0 +1,100 @@
+"""Follows docs/OPERATIONS.md from a caller's address to the cause, for three
+kinds of failed request, on logs of a fleet between stand-ins."""
+
+import socket
+import struct
+import subprocess
+import sys
+import time
+import unittest
+
+from harness.case import ROOT
+from harness.platform_fleet import DRAWINGS, PlatformCase
+from harness.processes import wait_until
+
+SCRIPT = ROOT / "scripts/trace_flow.py"
+PAGE = ROOT / "docs/OPERATIONS.md"
+
+
+def endpoint(source):
+    address = socket.inet_ntoa(struct.pack(">I", source[0]))
+    return f"{address}:{source[1]}"
+
+
+class Operations(PlatformCase):
+    def trace(self, source):
+        logs = sorted((self.folder / "logs").glob("*.log"))
+        run = subprocess.run(
+            [sys.executable, SCRIPT, endpoint(source), *logs],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        print(run.stdout)
+        return run.stdout
+
+    def last_source(self):
+        """Of the flow that the caller opened or tried to open last."""
+        flow = self.open_flows(1)[0]
+        return (flow.source[0], flow.source[1] - 1)
+
+    def assert_on_page(self, *words):
+        page = PAGE.read_text()
+        for word in words:
+            self.assertIn(word, page)
+
+    def test_a_route_that_is_not_there(self):
+        self.start_all()
+        self.wait_ready()
+        self.assertIsNone(self.caller.open(("198.18.0.99", 443)))
+        found = self.trace(self.last_source())
+        self.assertIn("outcome=reset basis=no_route", found)
+        self.assertIn("behind it: ", found)
+        self.assertIn("event=view_changed", found)
+        self.assertIn("cause: no route leads", found)
+        self.assert_on_page("no_route", "view_changed")
+
+    def test_turned_away_under_load(self):
+        self.start_all()
+        self.wait_ready()
+        drawings = next(vm for vm in self.agents if vm.service == "drawings")
+        self.servers[drawings.name].stalled = True
+        end = time.monotonic() + 30.0
+        refused = None
+        while refused is None and time.monotonic() < end:
+            flow = self.caller.open(DRAWINGS)
+            if flow is not None:
+                self.caller.send(flow, "work")
+                continue
+            source = self.last_source()
+            if "basis=turned_away" in self.trace(source):
+                refused = source
+        self.assertIsNotNone(refused, "no opening was turned away")
+        found = self.trace(refused)
+        self.assertIn("gate=full", found)
+        self.assertIn("cause: no candidate took the opening; the gate", found)
+        self.assertIn("requests in progress", found)
+        self.assert_on_page("basis=turned_away", "gate=full")
+
+    def test_lost_with_its_server(self):
+        self.start_all()
+        self.wait_ready()
+        flows = self.open_flows(4, DRAWINGS)
+        self.ask_all(flows, "first")
+        agent = next(vm for vm in self.agents if vm.service == "drawings")
+        self.servers.pop(agent.name).stop()
+        time.sleep(0.5)
+        self.start_server(agent)
+        wait_until(
+            lambda: agent.events("flows_lost"), 10.0, "the loss is noticed"
+        )
+        self.assertIsNone(self.caller.ask(flows[0], "lost", 5.0))
+        found = self.trace(flows[0].source)
+        self.assertIn("event=server_restarted", found)
+        self.assertIn("event=flows_lost", found)
+        self.assertIn(f"cause: the server beside {agent.name} lost", found)
+        self.assert_on_page("flows_lost", "server_condition")
+
+
+if __name__ == "__main__":
+    unittest.main()
