Name every balancer in turn to agents, not always the same sixteen

Cause: lists of balancers in pings are bounded at 16 and always began at the same end, so with more than 16 balancers some were never named. An agent that the store refuses stayed unknown to them, and they would have ruled its flows out. Ruled out: longer lists (a datagram's size). Before: 16 of 17, 40 or 100 named after any number of turns. After: all of them after one round of turns (test).

--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -138,6 +138,11 @@
 
 absl::string_view to_string(carry_kind kind);
 
+/// At most max_listed of `known`, another part of them each turn, so that who
+/// hears several lists hears of everybody.
+std::vector<support::endpoint>
+list_some(std::span<const support::endpoint> known, std::uint32_t turn);
+
 /// A packet on its way to the owner of its flow.
 struct carry {
     carry_kind kind = carry_kind::deliver;
--- a/lib/relay/agent.hpp
+++ b/lib/relay/agent.hpp
@@ -98,6 +98,8 @@
     udp_port outbound;
     std::uint64_t run_id;
     std::map<support::endpoint, support::instant> balancers;
+    /// Answers that have named other balancers.
+    std::uint32_t introductions = 0;
     support::instant last_ping;
     support::instant started;
     peer::server_condition noted = peer::server_condition::unknown;
--- a/lib/relay/agent_peers.cpp
+++ b/lib/relay/agent_peers.cpp
@@ -39,11 +39,14 @@
     answer.sequence = body.sequence;
     answer.view = this->view.summary();
     answer.report = this->report();
-    for (const auto& [other, heard] : this->balancers) {
-        if (body.introduces && other != from &&
-            answer.balancers.size() < peer::max_listed) {
-            answer.balancers.push_back(other);
+    if (body.introduces) {
+        std::vector<support::endpoint> known;
+        for (const auto& [other, heard] : this->balancers) {
+            if (other != from) {
+                known.push_back(other);
+            }
         }
+        answer.balancers = peer::list_some(known, this->introductions++);
     }
     this->link.send(from, answer);
 }
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -129,12 +129,15 @@
     body.view = this->view.summary();
     body.agents = static_cast<std::uint32_t>(this->members.size());
     const std::vector<support::endpoint> nobody;
-    std::vector<support::endpoint> others;
+    std::vector<support::endpoint> known;
     for (const auto& [other, heard] : this->balancers) {
-        if (others.size() < peer::max_listed) {
-            others.push_back(other);
-        }
+        known.push_back(other);
     }
+    const auto others = peer::list_some(known, this->introductions);
+    const bool any_introduces =
+        std::any_of(due.begin(), due.end(),
+                    [](const auto& each) { return each.introduces; });
+    this->introductions += any_introduces ? 1 : 0;
     for (const steering::due_ping& each : due) {
         body.listed = this->listing_of(each.agent);
         body.introduces = each.introduces;
--- a/lib/relay/balancer.hpp
+++ b/lib/relay/balancer.hpp
@@ -71,6 +71,8 @@
     std::map<support::endpoint, bool> presence;
     std::set<support::endpoint> given_up;
     std::uint32_t ping_sequence = 0;
+    /// Rounds of pings that have named other balancers.
+    std::uint32_t introductions = 0;
     bool search_tick_set = false;
     bool any_answer = false;
     bool stopping = false;
--- /dev/null
+++ b/unittests/peer/list_some_test.cpp
@@ -0,0 +1,45 @@
+#include <guavastair/peer.hpp>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace peer = guavastair::peer;
+namespace support = guavastair::support;
+
+static std::vector<support::endpoint> processes(std::uint16_t count) {
+    std::vector<support::endpoint> all;
+    for (std::uint16_t i = 1; i <= count; ++i) {
+        all.push_back({{0x0a000001}, i});
+    }
+    return all;
+}
+
+TEST_CASE("a list is bounded and names nobody twice") {
+    for (const std::uint16_t count : {0, 1, 15, 16, 17, 100}) {
+        const auto all = processes(count);
+        for (std::uint32_t turn = 0; turn < 20; ++turn) {
+            const auto some = peer::list_some(all, turn);
+            CHECK(some.size() == std::min(all.size(), peer::max_listed));
+            CHECK(std::set(some.begin(), some.end()).size() == some.size());
+        }
+    }
+    CHECK(peer::list_some(processes(3), UINT32_MAX).size() == 3);
+}
+
+// Only the same 16 of more than 16 balancers were ever named: an agent that the
+// store refuses stayed unknown to the others, who then ruled its flows out.
+TEST_CASE("after enough turns everybody was named") {
+    for (const std::uint16_t count : {17, 40, 100}) {
+        const auto all = processes(count);
+        std::set<support::endpoint> named;
+        const std::size_t turns =
+            (all.size() + peer::max_listed - 1) / peer::max_listed;
+        for (std::uint32_t turn = 7; turn < 7 + turns; ++turn) {
+            const auto some = peer::list_some(all, turn);
+            named.insert(some.begin(), some.end());
+        }
+        CAPTURE(count);
+        CHECK(named.size() == all.size());
+    }
+}
