--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace guavastair::steering {
 
 struct member_table::implementation {
-    explicit implementation(member_settings chosen) : settings(chosen) {}
+    explicit implementation(member_settings chosen)
+        : settings(std::move(chosen)) {}
 
     member* add(support::instant now, const peer::agent_report& report);
     bool is_in_use(const member& each) const;
@@ -88,7 +90,7 @@
 }
 
 member_table::member_table(member_settings chosen)
-    : self(std::make_unique<implementation>(chosen)) {}
+    : self(std::make_unique<implementation>(std::move(chosen))) {}
 
 member_table::~member_table() = default;
 
