Count an agent's silence as before where it was not pinged rarely

Cause: read in the diff. The first packet for an agent that had carried nothing for two seconds began its silence anew, also where it had been pinged four times a second all along: one that died unused was found dark up to 0.6 s later. Before: the new test fails at both agents. After: passes; the 46 others pass.

--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -69,8 +69,8 @@
     support::instant last_answer;
     support::instant last_ping;
     support::instant last_introduction;
-    /// The last packet that was carried to it, and the first of those without
-    /// a long pause between them.
+    /// The last packet that was carried to it, and the first one after which
+    /// it was no longer pinged rarely.
     support::instant last_used;
     support::instant used_since;
     /// Openings sent to it since its last report.
--- a/lib/relay/agent_peers.cpp
+++ b/lib/relay/agent_peers.cpp
@@ -47,13 +47,13 @@
     answer.view = this->view.summary();
     answer.report = this->report();
     if (body.introduces) {
-        std::vector<support::endpoint> known;
-        for (const auto& [other, heard] : this->balancers) {
+        std::vector<support::endpoint> others;
+        for (const auto& [other, seen] : this->balancers) {
             if (other != from) {
-                known.push_back(other);
+                others.push_back(other);
             }
         }
-        answer.balancers = peer::list_some(known, this->introductions++);
+        answer.balancers = peer::list_some(others, this->introductions++);
     }
     this->link.send(from, answer);
 }
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -84,7 +84,7 @@
 }
 
 /// How long the agent has owed an answer. One that was pinged rarely until it
-/// came into use owes none from before.
+/// came into use owes none from before that.
 static support::duration silence_of(support::instant now, const member& each) {
     return now - std::max(each.last_answer, each.used_since);
 }
@@ -137,7 +137,7 @@
         return;
     }
     member& each = found->second;
-    if (!this->self->is_in_use(each)) {
+    if (this->self->interval_of(each) > this->self->settings.ping_interval) {
         each.used_since = now;
     }
     each.last_used = now;
--- a/unittests/steering/member_table_test.cpp
+++ b/unittests/steering/member_table_test.cpp
@@ -198,6 +198,23 @@
     CHECK(lost_at <= 5000 + settings.lost_after.ms + 50);
 }
 
+// A packet for an agent that has just died must not put off finding it out.
+TEST_CASE("the first packet for an agent in a small fleet changes no limit") {
+    steering::member_settings settings;
+    settings.own_data_centre = {"a"};
+    steering::member_table members(settings);
+    for (std::uint32_t i = 1; i <= 9; ++i) {
+        members.on_report({0}, report_of(i, i % 3 == 0 ? "a" : "b"));
+    }
+    members.on_carried({500}, agent_at(1));
+    members.on_carried({500}, agent_at(3));
+    for (const std::uint32_t i : {1U, 3U}) {
+        const auto* each = members.find(agent_at(i));
+        CHECK(members.is_present({settings.dark_after.ms}, *each));
+        CHECK_FALSE(members.is_present({settings.dark_after.ms + 1}, *each));
+    }
+}
+
 TEST_CASE("what other processes there are is told at times only") {
     steering::member_table members({});
     members.on_report({0}, report_of(1));
