--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -286,6 +286,7 @@
     peer::load_report load;
     std::optional<work_time> work;
     opening_terms terms;
+    load_limits limits;
     support::duration request_timeout = support::seconds(2);
 };
 
@@ -360,6 +361,8 @@
 struct owner_settings {
     /// Where this agent receives messages.
     support::endpoint self;
+    /// Whether an opening that was passed on may come back here.
+    bool takes_second_offers = true;
     std::size_t max_flows = 65'536;
     /// Flows known not to be here, or lost, that are remembered.
     std::size_t max_remembered = 16'384;
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -152,6 +152,8 @@
     support::data_centre_name own_data_centre;
     /// Most agents that one opening packet is offered to.
     std::size_t max_candidates = 6;
+    /// Agents of one data centre that are compared by load for each opening.
+    std::size_t compared = 2;
     /// How much busier, in requests for each slot, the own data centre's
     /// choice must be for another data centre's to be preferred.
     double spill_margin = 0.5;
--- a/lib/ownership/gate.cpp
+++ b/lib/ownership/gate.cpp
@@ -65,7 +65,7 @@
         result.reason = *why;
         return result;
     }
-    switch (judge_load({}, inputs.load, inputs.work, inputs.terms)) {
+    switch (judge_load(inputs.limits, inputs.load, inputs.work, inputs.terms)) {
     case load_verdict::full:
         result.reason = gate_reason::full;
         return result;
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -263,7 +263,9 @@
         return table.pass_on(std::move(made), basis::table_full);
     }
     if (gate.answer == gate_answer::prefer_other && others_exist) {
-        made.willing.push_back(table.settings.self);
+        if (table.settings.takes_second_offers) {
+            made.willing.push_back(table.settings.self);
+        }
         return table.pass_on(std::move(made), basis::passed);
     }
     action result = table.open(now, packet, std::move(made));
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -5,6 +5,8 @@
 
 namespace guavastair::relay {
 
+using ablation::mechanism;
+
 namespace {
 
 constexpr support::duration tick_interval = support::milliseconds(100);
@@ -19,9 +21,11 @@
 /// tell.
 constexpr support::duration view_watch_time = support::seconds(8);
 
-ownership::owner_settings owner_settings(const platform::settings& settings) {
+ownership::owner_settings owner_settings(const process& shell) {
+    const platform::settings& settings = shell.settings;
     ownership::owner_settings result;
     result.self = settings.peers;
+    result.takes_second_offers = shell.enabled.has(mechanism::second_offer);
     result.longest_flow = settings.longest_flow;
     result.idle_timeout = settings.longest_flow;
     return result;
@@ -50,13 +54,12 @@
 
 } // namespace
 
-agent::agent(platform::settings chosen)
-    : shell(std::move(chosen)), link(shell),
+agent::agent(platform::settings chosen, const run_options& options)
+    : shell(std::move(chosen), options), link(shell),
       view(shell, view_watch_time, [this] { this->on_view_changed(); }),
       registrar(shell, registrar_settings(shell.settings)),
       monitor(monitor_settings(shell.settings), shell.now()),
-      owner(owner_settings(shell.settings), shell.now()),
-      ledger({}, shell.now()),
+      owner(owner_settings(shell), shell.now()), ledger({}, shell.now()),
       ledger_writer(shell, ledger_settings(shell.settings)),
       ledger_reader(shell.loop, {.store = shell.settings.store},
                     shell.store_calls),
@@ -218,7 +221,8 @@
     line.add("role", "agent")
         .add("of", this->shell.settings.service)
         .add("data_centre", this->shell.settings.data_centre)
-        .add("run", support::to_string(support::member_id{this->run_id}));
+        .add("run", support::to_string(support::member_id{this->run_id}))
+        .add("without", this->shell.enabled.names_off());
     this->shell.log(logging::level::info, "started", line);
     this->shell.loop.run();
     line = logging::line("stopped");
@@ -226,12 +230,12 @@
     return absl::OkStatus();
 }
 
-absl::Status run_agent() {
+absl::Status run_agent(const run_options& options) {
     auto settings = platform::load_settings(platform::process_role::agent);
     if (!settings.ok()) {
         return settings.status();
     }
-    agent instance(*std::move(settings));
+    agent instance(*std::move(settings), options);
     return instance.run();
 }
 
--- a/lib/relay/agent.hpp
+++ b/lib/relay/agent.hpp
@@ -29,7 +29,7 @@
 /// One agent.
 class agent {
 public:
-    explicit agent(platform::settings chosen);
+    agent(platform::settings chosen, const run_options& options);
 
     absl::Status run();
 
--- a/lib/relay/agent_packets.cpp
+++ b/lib/relay/agent_packets.cpp
@@ -6,8 +6,13 @@
 
 namespace guavastair::relay {
 
+using ablation::mechanism;
+
 namespace {
 
+/// Share of an objective that bounds nothing.
+constexpr double unbounded_wait = 1e9;
+
 /// An agent that was never listed, because the store refuses it, takes flows
 /// after this: all balancers know it by their peers.
 constexpr support::duration introduction_time = support::seconds(8);
@@ -40,6 +45,10 @@
     }
     inputs.load = this->load();
     inputs.work = this->work.mean();
+    if (!this->shell.enabled.has(mechanism::predicted_wait)) {
+        inputs.limits.wait_share = unbounded_wait;
+        inputs.limits.wait_share_of_lower = unbounded_wait;
+    }
     return inputs;
 }
 
@@ -72,8 +81,11 @@
     ownership::opening_terms terms;
     terms.how_urgent = this->urgency_of(wanted);
     if (wanted.latency_objective.ms > 0) {
-        terms.time_left =
-            wanted.latency_objective - platform::opening_age(opening);
+        const support::duration age =
+            this->shell.enabled.has(mechanism::copy_age)
+                ? platform::opening_age(opening)
+                : support::duration{};
+        terms.time_left = wanted.latency_objective - age;
     }
     return terms;
 }
@@ -81,7 +93,8 @@
 /// Requests that may not be repeated come first; of the others those whose
 /// route no other route to this service outranks.
 ownership::urgency agent::urgency_of(const routing::route& wanted) const {
-    if (wanted.kind == routing::request_kind::non_idempotent) {
+    if (wanted.kind == routing::request_kind::non_idempotent ||
+        !this->shell.enabled.has(mechanism::urgency)) {
         return ownership::urgency::highest;
     }
     const auto best =
--- a/lib/relay/agent_server.cpp
+++ b/lib/relay/agent_server.cpp
@@ -108,7 +108,8 @@
 
 void agent::remember_flows() {
     const support::instant now = this->shell.now();
-    if (!this->ledger.is_due(now)) {
+    if (!this->shell.enabled.has(ablation::mechanism::flow_ledger) ||
+        !this->ledger.is_due(now)) {
         return;
     }
     const auto list = this->ledger.next_write(
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -11,6 +11,8 @@
 
 namespace guavastair::relay {
 
+using ablation::mechanism;
+
 namespace {
 
 constexpr support::duration ping_tick = support::milliseconds(50);
@@ -45,28 +47,50 @@
     return result;
 }
 
-steering::member_settings member_settings(const platform::settings& settings) {
+/// Stands for no bound at all.
+constexpr double unbounded = 1e9;
+constexpr support::duration never = support::seconds(1'000'000);
+
+steering::member_settings member_settings(const process& owner) {
     steering::member_settings result;
-    result.own_data_centre = settings.data_centre;
+    result.own_data_centre = owner.settings.data_centre;
+    if (!owner.enabled.has(mechanism::shared_pings)) {
+        result.remote_pings_per_second = unbounded;
+    }
+    if (!owner.enabled.has(mechanism::silent_agent_resets)) {
+        result.lost_after = never;
+        result.restart_time = never;
+    }
     return result;
 }
 
-steering::dispatcher_settings
-dispatcher_settings(const platform::settings& settings) {
+steering::dispatcher_settings dispatcher_settings(const process& owner) {
     steering::dispatcher_settings result;
-    result.opening.own_data_centre = settings.data_centre;
-    result.location_lifetime = settings.longest_flow;
+    if (owner.enabled.has(mechanism::local_first)) {
+        result.opening.own_data_centre = owner.settings.data_centre;
+    }
+    if (!owner.enabled.has(mechanism::two_choices)) {
+        result.opening.compared = 1;
+    }
+    if (!owner.enabled.has(mechanism::search_budget)) {
+        result.search_messages_per_second = unbounded;
+        result.search_message_burst = unbounded;
+    }
+    if (!owner.enabled.has(mechanism::early_packets)) {
+        result.max_early = 0;
+    }
+    result.location_lifetime = owner.settings.longest_flow;
     return result;
 }
 
 } // namespace
 
-balancer::balancer(platform::settings chosen)
-    : shell(std::move(chosen)), link(shell),
+balancer::balancer(platform::settings chosen, const run_options& options)
+    : shell(std::move(chosen), options), link(shell),
       view(shell, view_watch_time, [] {}),
       agents(shell, follow_agents(), [this] { this->on_agents_listed(); }),
-      cleaner(shell), members(member_settings(shell.settings)),
-      dispatcher(dispatcher_settings(shell.settings), members, view.rules()),
+      cleaner(shell), members(member_settings(shell)),
+      dispatcher(dispatcher_settings(shell), members, view.rules()),
       control(shell.loop,
               [this](const http::request& ask) { return this->answer(ask); }),
       packets(shell), run_id(shell.random()) {}
@@ -218,10 +242,12 @@
 bool balancer::is_ready() const {
     const bool knows_agents =
         this->any_answer || this->shell.now() - this->started > longest_start;
+    const bool reaches =
+        !this->shell.enabled.has(mechanism::readiness_by_reach) ||
+        steering::reaches_every_service(this->shell.now(), this->members,
+                                        this->view.rules());
     return !this->stopping && this->view.rules().has_configuration() &&
-           knows_agents &&
-           steering::reaches_every_service(this->shell.now(), this->members,
-                                           this->view.rules());
+           knows_agents && reaches;
 }
 
 void balancer::add_metrics() {
@@ -331,7 +357,8 @@
     });
     logging::line line("started");
     line.add("role", "balancer")
-        .add("data_centre", this->shell.settings.data_centre);
+        .add("data_centre", this->shell.settings.data_centre)
+        .add("without", this->shell.enabled.names_off());
     this->shell.log(logging::level::info, "started", line);
     this->shell.loop.run();
     line = logging::line("stopped");
@@ -339,12 +366,12 @@
     return absl::OkStatus();
 }
 
-absl::Status run_balancer() {
+absl::Status run_balancer(const run_options& options) {
     auto settings = platform::load_settings(platform::process_role::balancer);
     if (!settings.ok()) {
         return settings.status();
     }
-    balancer instance(*std::move(settings));
+    balancer instance(*std::move(settings), options);
     return instance.run();
 }
 
--- a/lib/relay/balancer.hpp
+++ b/lib/relay/balancer.hpp
@@ -19,7 +19,7 @@
 /// One balancer.
 class balancer {
 public:
-    explicit balancer(platform::settings chosen);
+    balancer(platform::settings chosen, const run_options& options);
 
     absl::Status run();
 
--- a/lib/relay/process.cpp
+++ b/lib/relay/process.cpp
@@ -53,9 +53,11 @@
     return read_clock_ms(CLOCK_BOOTTIME) - read_clock_ms(CLOCK_MONOTONIC);
 }
 
-process::process(platform::settings chosen)
-    : settings(std::move(chosen)), loop(this->clock),
-      writer({.node = this->settings.node}, STDOUT_FILENO) {
+process::process(platform::settings chosen, const run_options& options)
+    : settings(std::move(chosen)), enabled(options.enabled), loop(this->clock),
+      writer({.node = this->settings.node,
+              .lines_per_event = options.log_lines_per_event},
+             STDOUT_FILENO) {
     this->loop.call_each_round([this] { this->writer.flush(); });
 }
 
--- a/lib/relay/process.hpp
+++ b/lib/relay/process.hpp
@@ -10,6 +10,7 @@
 #include <guavastair/line_log.hpp>
 #include <guavastair/net.hpp>
 #include <guavastair/peer.hpp>
+#include <guavastair/relay.hpp>
 
 #include <functional>
 #include <memory>
@@ -23,7 +24,7 @@
 /// The clock, loop, log and settings of one process.
 class process {
 public:
-    explicit process(platform::settings chosen);
+    process(platform::settings chosen, const run_options& options);
     ~process();
     process(const process&) = delete;
     process& operator=(const process&) = delete;
@@ -54,6 +55,7 @@
     std::uint64_t random();
 
     platform::settings settings;
+    ablation::mechanisms enabled;
     support::steady_clock clock;
     net::event_loop loop;
     platform::call_counts store_calls;
--- a/lib/relay/view_keeper.cpp
+++ b/lib/relay/view_keeper.cpp
@@ -79,6 +79,9 @@
 
 void view_keeper::on_peer_view(support::endpoint from,
                                const peer::view_summary& theirs) {
+    if (!this->owner.enabled.has(ablation::mechanism::peer_views)) {
+        return;
+    }
     const support::instant now = this->owner.now();
     const bool fetches = this->fetching != nullptr && this->fetching->busy();
     switch (this->catch_up.on_summary(now, this->summary(), theirs,
--- a/lib/steering/openings.cpp
+++ b/lib/steering/openings.cpp
@@ -7,9 +7,6 @@
 
 namespace guavastair::steering {
 
-/// Agents of one data centre that are compared by load for each opening.
-static constexpr std::size_t compared = 2;
-
 /// Weight of the mean work in progress against the present one: the mean
 /// holds the work of long flows that happen to be idle now.
 static constexpr double mean_weight = 0.5;
@@ -54,7 +51,7 @@
 }
 
 /// Puts the less loaded of the first `compared` entries first.
-void sort_first_by_load(std::span<ranked> group) {
+void sort_first_by_load(std::span<ranked> group, std::size_t compared) {
     const auto count = std::min(group.size(), compared);
     std::stable_sort(group.begin(),
                      group.begin() + static_cast<std::ptrdiff_t>(count),
@@ -92,8 +89,8 @@
                      [](const ranked& entry) { return !entry.is_local; });
     const std::span<ranked> local(order.begin(), first_remote);
     const std::span<ranked> remote(first_remote, order.end());
-    sort_first_by_load(local);
-    sort_first_by_load(remote);
+    sort_first_by_load(local, settings.compared);
+    sort_first_by_load(remote, settings.compared);
     const bool spill =
         !local.empty() && !remote.empty() &&
         load_of(*local.front().each) >
--- a/test/harness/platform_standins.py
+++ b/test/harness/platform_standins.py
@@ -11,6 +11,7 @@
 import json
 import socket
 import struct
+import sys
 import threading
 import time
 from dataclasses import dataclass, field
@@ -373,11 +374,16 @@
         try:
             link = http.client.HTTPConnection(*self.control, timeout=1)
             link.request("POST", path, body)
-            ok = link.getresponse().status == 200
+            status = link.getresponse().status
             link.close()
-        except OSError:
+        except (OSError, http.client.HTTPException) as problem:
+            print(f"{self.name}: {verb} not confirmed: {problem!r}",
+                  file=sys.stderr)
             return False
-        return ok
+        if status != 200:
+            print(f"{self.name}: {verb} not confirmed: status {status}",
+                  file=sys.stderr)
+        return status == 200
 
 
 # ----------------------------------------------------------------- callers
--- a/tools/guavastair/platform_commands.cpp
+++ b/tools/guavastair/platform_commands.cpp
@@ -3,21 +3,39 @@
 
 #include <guavastair/relay.hpp>
 
+#include <absl/flags/flag.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include <iostream>
 
+ABSL_FLAG(std::string, without, "",
+          "mechanisms to run without, separated by commas, to measure what "
+          "they are worth");
+ABSL_FLAG(std::uint32_t, log_lines_per_event, 100,
+          "log lines of one event in one second; further ones are counted");
+
 namespace guavastair::tool {
 
+static absl::StatusOr<relay::run_options> read_run_options() {
+    auto enabled = ablation::mechanisms::without(absl::GetFlag(FLAGS_without));
+    if (!enabled.ok()) {
+        return enabled.status();
+    }
+    return relay::run_options{*enabled,
+                              absl::GetFlag(FLAGS_log_lines_per_event)};
+}
+
 static absl::Status
 run_platform_balancer(std::span<const std::string> /*arguments*/) {
-    return relay::run_balancer();
+    const auto options = read_run_options();
+    return options.ok() ? relay::run_balancer(*options) : options.status();
 }
 
 static absl::Status
 run_platform_agent(std::span<const std::string> /*arguments*/) {
-    return relay::run_agent();
+    const auto options = read_run_options();
+    return options.ok() ? relay::run_agent(*options) : options.status();
 }
 
 /// Checks settings files of the platform for the role that stands first, and
@@ -63,14 +81,18 @@
             0,
             0,
             "runs a balancer on the users' platform",
-            {},
+            {"without", "log_lines_per_event"},
             run_platform_balancer};
 }
 
 command platform_agent_command() {
-    return {
-        "platform agent",  "", 0, 0, "runs an agent on the users' platform", {},
-        run_platform_agent};
+    return {"platform agent",
+            "",
+            0,
+            0,
+            "runs an agent on the users' platform",
+            {"without", "log_lines_per_event"},
+            run_platform_agent};
 }
 
 } // namespace guavastair::tool
--- a/unittests/ownership/owner_table_test.cpp
+++ b/unittests/ownership/owner_table_test.cpp
@@ -100,6 +100,16 @@
     CHECK_FALSE(action.further.is_last);
 }
 
+TEST_CASE("without second offers nothing comes back to a busy agent") {
+    ownership::owner_settings settings = settings_of_self();
+    settings.takes_second_offers = false;
+    ownership::owner_table table(settings, {0});
+    const auto action = table.on_opening({0}, opening, busy_gate,
+                                         {balancer, {other_agent}});
+    CHECK(action.kind == action_kind::pass_on);
+    CHECK(action.further.willing.empty());
+}
+
 TEST_CASE("the last candidate sends an opening back to a willing agent") {
     agent a;
     const auto action =
