--- a/unittests/ownership/owner_table_test.cpp
+++ b/unittests/ownership/owner_table_test.cpp
@@ -104,8 +104,8 @@
     ownership::owner_settings settings = settings_of_self();
     settings.takes_second_offers = false;
     ownership::owner_table table(settings, {0});
-    const auto action = table.on_opening({0}, opening, busy_gate,
-                                         {balancer, {other_agent}});
+    const auto action =
+        table.on_opening({0}, opening, busy_gate, {balancer, {other_agent}});
     CHECK(action.kind == action_kind::pass_on);
     CHECK(action.further.willing.empty());
 }
