--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -200,6 +200,9 @@
     double full_without_objective = 4.0;
 };
 
+/// How long a request that comes now waits for a slot, if each takes `work`.
+work_time predicted_wait(const peer::load_report& load, work_time work);
+
 /// Judges a server's load for an opening. `work` is the time that a request
 /// takes at the server without waiting; empty if none was observed yet.
 load_verdict judge_load(const load_limits& limits,
--- a/lib/ownership/load_limits.cpp
+++ b/lib/ownership/load_limits.cpp
@@ -8,6 +8,13 @@
 /// after about ten answers.
 static constexpr double answer_weight = 0.1;
 
+work_time predicted_wait(const peer::load_report& load, work_time work) {
+    const double slots = std::max<std::uint32_t>(load.slots, 1);
+    // So many requests must end before a slot is free.
+    const double ahead = std::max(load.in_progress - slots + 1.0, 0.0);
+    return {ahead * work.ms / slots};
+}
+
 load_verdict judge_load(const load_limits& limits,
                         const peer::load_report& load,
                         std::optional<work_time> work,
@@ -25,14 +32,12 @@
         return load_verdict::full;
     }
     const auto time_left = static_cast<double>(terms.time_left->ms);
-    const double work_ms =
-        work.has_value() ? work->ms : time_left * limits.assumed_work_share;
-    // So many requests must end before a slot is free.
-    const double ahead = load.in_progress - slots + 1.0;
+    const work_time expected =
+        work.value_or(work_time{time_left * limits.assumed_work_share});
     const double share = terms.how_urgent == urgency::highest
                              ? limits.wait_share
                              : limits.wait_share_of_lower;
-    return ahead * work_ms / slots < time_left * share
+    return predicted_wait(load, expected).ms < time_left * share
                ? load_verdict::prefer_other
                : load_verdict::full;
 }
--- a/lib/relay/agent.cpp
+++ b/lib/relay/agent.cpp
@@ -95,6 +95,25 @@
             const std::uint32_t left = this->gate_inputs().openings_left;
             return left == UINT32_MAX ? -1.0 : static_cast<double>(left);
         });
+    this->page.add_gauge(
+        {"guavastair_request_work_seconds",
+         "Observed time that a request takes without waiting; 0 before the "
+         "first answer.",
+         {}},
+        [this] {
+            return this->work.mean().value_or(ownership::work_time{}).ms /
+                   ms_per_second;
+        });
+    this->page.add_gauge(
+        {"guavastair_predicted_wait_seconds",
+         "What an opening that comes now would wait for a slot.",
+         {}},
+        [this] {
+            const auto work =
+                this->work.mean().value_or(ownership::work_time{});
+            return ownership::predicted_wait(this->load(), work).ms /
+                   ms_per_second;
+        });
     this->page.add_gauge(
         {"guavastair_balancers_heard",
          "Balancers that have pinged lately.",
--- a/lib/relay/agent_packets.cpp
+++ b/lib/relay/agent_packets.cpp
@@ -242,7 +242,6 @@
     if (!packet->returned) {
         const auto answered = this->owner.on_server_packet(now, packet->head);
         if (answered.has_value()) {
-            constexpr double ms_per_second = 1000.0;
             this->answer_times.record(static_cast<double>(answered->waited.ms) /
                                       ms_per_second);
             this->work.on_answer(answered->waited, answered->in_progress,
--- a/lib/relay/metrics_page.cpp
+++ b/lib/relay/metrics_page.cpp
@@ -31,7 +31,6 @@
                     "Time since the operators' view was found complete.",
                     {}},
                    [&view, &owner] {
-                       constexpr double ms_per_second = 1000.0;
                        const support::duration age =
                            owner.now() - view.rules().confirmed_at();
                        return static_cast<double>(age.ms) / ms_per_second;
--- a/lib/relay/metrics_page.hpp
+++ b/lib/relay/metrics_page.hpp
@@ -16,6 +16,9 @@
 
 namespace guavastair::relay {
 
+/// Metrics are in seconds.
+inline constexpr double ms_per_second = 1000.0;
+
 inline constexpr absl::string_view metrics_path = "/metrics";
 
 /// Registers what both processes have in common; `owner` and `view` must
--- a/unittests/ownership/load_limits_test.cpp
+++ b/unittests/ownership/load_limits_test.cpp
@@ -36,6 +36,15 @@
     CHECK(judge(load(2, 1), work_time{15.0}, {}) == load_verdict::take);
 }
 
+TEST_CASE("the wait is predicted from the work ahead") {
+    const work_time work{20.0};
+    CHECK(ownership::predicted_wait(load(2, 0), work).ms == 0.0);
+    CHECK(ownership::predicted_wait(load(2, 1), work).ms == 0.0);
+    CHECK(ownership::predicted_wait(load(2, 2), work).ms == 10.0);
+    CHECK(ownership::predicted_wait(load(2, 5), work).ms == 40.0);
+    CHECK(ownership::predicted_wait(load(0, 1), work).ms == 20.0);
+}
+
 TEST_CASE("an opening waits only as long as its answer is in time") {
     // Two slots of 20 ms: a slot is free after 10 ms for each one ahead.
     const work_time work{20.0};
--- a/unittests/ownership/load_patterns_test.cpp
+++ b/unittests/ownership/load_patterns_test.cpp
@@ -6,7 +6,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <numeric>
@@ -18,7 +17,6 @@
 namespace peer = guavastair::peer;
 namespace support = guavastair::support;
 
-using ownership::action_kind;
 using ownership::load_verdict;
 
 namespace {
