Give agents up after 2.5 s of silence, and look for their return closely

Cause: an agent that is killed answers again after about a second; a balancer that asked it every 250 ms and lost a ping or two gave it up after 1.2 s and reset the open flows of a server that lived. The log has agent_given_up silent_ms=1201 of an agent that other balancers had found 0.2 s before. Now: an agent in use that is silent is pinged every 100 ms until it is given up, after 2.5 s: a kill, a start and lost pings.

--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -48,7 +48,10 @@
     support::duration dark_after = support::milliseconds(600);
     /// Silence after which an agent's flows are given up, if most other agents
     /// answer: longer than a process takes to restart.
-    support::duration lost_after = support::milliseconds(1200);
+    support::duration lost_after = support::milliseconds(2500);
+    /// Time between two pings of an agent in use that has fallen silent, until
+    /// it is given up: its return must be seen before that.
+    support::duration silent_ping_interval = support::milliseconds(100);
     /// As lost_after for an agent that has announced its restart.
     support::duration restart_time = support::seconds(8);
     /// How long an agent that is neither listed nor answering is remembered.
--- a/lib/steering/member_table.cpp
+++ b/lib/steering/member_table.cpp
@@ -13,6 +13,8 @@
     member* add(support::instant now, const peer::agent_report& report);
     bool is_in_use(const member& each) const;
     support::duration interval_of(const member& each) const;
+    support::duration ping_interval_of(support::instant now,
+                                       const member& each) const;
     support::duration scaled(const member& each, support::duration limit) const;
     void count_remote();
 
@@ -75,6 +77,22 @@
     return std::clamp(wanted, least, this->settings.longest_remote_interval);
 }
 
+/// Time between two pings of an agent, whether it answers or not.
+support::duration
+member_table::implementation::ping_interval_of(support::instant now,
+                                               const member& each) const {
+    const support::duration silence = now - each.last_answer;
+    if (silence > this->settings.forget_after / 4) {
+        return this->settings.absent_ping_interval;
+    }
+    const bool may_be_given_up = silence > this->settings.dark_after &&
+                                 silence <= this->settings.lost_after;
+    if (may_be_given_up && this->is_in_use(each)) {
+        return this->settings.silent_ping_interval;
+    }
+    return this->interval_of(each);
+}
+
 /// A limit on silence, for the interval at which the agent is pinged.
 support::duration
 member_table::implementation::scaled(const member& each,
@@ -155,9 +173,8 @@
     const member_settings& settings = this->self->settings;
     std::vector<due_ping> due;
     for (auto& [agent, each] : this->self->members) {
-        const bool dark = now - each.last_answer > settings.forget_after / 4;
-        const support::duration interval = dark ? settings.absent_ping_interval
-                                                : this->self->interval_of(each);
+        const support::duration interval =
+            this->self->ping_interval_of(now, each);
         if (now - each.last_ping < interval) {
             continue;
         }
--- a/unittests/steering/member_table_test.cpp
+++ b/unittests/steering/member_table_test.cpp
@@ -68,6 +68,62 @@
     CHECK_FALSE(members.is_lost({1200}, *each));
 }
 
+// Found on npwl-lb-grown, deploy/days/agents-killed.toml --vary --seed
+// 493388998161 and zones-apart.toml --vary --seed 711857883445: agents that
+// were killed answered other balancers again after 1.0 s, but were given up by
+// one whose next ping was due after 1.2 s, and open flows were reset.
+TEST_CASE("an agent that is back after a second keeps its flows") {
+    steering::member_table members({});
+    const support::endpoint killed = agent_at(1);
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        members.on_report({0}, report_of(i));
+    }
+    constexpr int down_from = 1000;
+    // A kill, the start of a process, and two pings that are lost.
+    constexpr int down_until = 2250;
+    int found_at = 0;
+    for (int now = 0; now < 4000; now += 50) {
+        members.on_carried({now}, killed);
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            const bool answers =
+                due.agent != killed || now < down_from || now >= down_until;
+            if (!answers) {
+                continue;
+            }
+            members.on_report({now}, members.find(due.agent)->report);
+            if (due.agent == killed && now >= down_until && found_at == 0) {
+                found_at = now;
+            }
+        }
+        CHECK_FALSE(members.is_lost({now}, *members.find(killed)));
+    }
+    CHECK(found_at >= down_until);
+    CHECK(found_at <= down_until + 100);
+}
+
+TEST_CASE("a silent agent is pinged closely only until it is given up") {
+    steering::member_table members({});
+    const support::endpoint silent = agent_at(1);
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        members.on_report({0}, report_of(i));
+    }
+    members.on_carried({0}, silent);
+    int close_pings = 0;
+    int later_pings = 0;
+    for (int now = 50; now < 6000; now += 50) {
+        for (const steering::due_ping& due : members.due_for_ping({now})) {
+            if (due.agent != silent) {
+                members.on_report({now}, members.find(due.agent)->report);
+                continue;
+            }
+            (now <= 2600 ? close_pings : later_pings) += 1;
+        }
+    }
+    CHECK(close_pings <= 3 + 20);
+    CHECK(later_pings <= 14);
+    CHECK(members.is_lost({5950}, *members.find(silent)));
+}
+
 TEST_CASE("an agent that announced its restart is given more time") {
     steering::member_table members({});
     auto leaving = report_of(1);
