--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -316,28 +316,27 @@
 dispatch dispatcher::implementation::decide(support::instant now,
                                             const flow::packet& packet,
                                             std::span<const std::byte> bytes) {
-    implementation& state = *this;
     if (packet.flags.opens()) {
-        return state.open(now, packet);
+        return this->open(now, packet);
     }
-    if (state.members.size() == 0) {
+    if (this->members.size() == 0) {
         return refuse(dispatch_kind::drop, dispatch_basis::starting);
     }
     const std::uint64_t hash = flow::flow_hash(packet.key);
-    if (location* located = state.locations.find(hash)) {
-        const member* each = state.members.find(located->agent);
-        if (each != nullptr && state.members.is_present(now, *each)) {
+    if (location* located = this->locations.find(hash)) {
+        const member* each = this->members.find(located->agent);
+        if (each != nullptr && this->members.is_present(now, *each)) {
             located->flow.acknowledgement = packet.acknowledgement;
             located->carried = true;
-            state.locations.touch(hash, now);
+            this->locations.touch(hash, now);
             return send_to(located->agent, dispatch_basis::located);
         }
     }
-    const auto found = state.searches.find(packet.key);
-    if (found != state.searches.end()) {
-        return state.hold(found->second, bytes);
+    const auto found = this->searches.find(packet.key);
+    if (found != this->searches.end()) {
+        return this->hold(found->second, bytes);
     }
-    return state.begin_search(now, packet.key, bytes, std::nullopt);
+    return this->begin_search(now, packet.key, bytes, std::nullopt);
 }
 
 std::vector<released> dispatcher::on_owned(support::instant now,
