Carry out what a balancer's slow tick releases

Cause: once a second the slow tick called dispatcher::tick() and threw its result away: steps of searches, resets, and since packets that waited for a first configuration were lost in that call. Found by reading the change. Ruled out: that the call is needed for expiry alone: tick_searches() expires as well and carries out. Before: a released packet was lost if the slow tick came first. After: the same path as the search tick; [[nodiscard]] makes the compiler refuse the former call. Conclusion: kept; unittest_steering passes.

--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -310,7 +310,7 @@
 
     /// Goes on with searches whose step has lasted long enough, and with
     /// packets that came before anything was known.
-    std::vector<released> tick(support::instant now);
+    [[nodiscard]] std::vector<released> tick(support::instant now);
 
     /// The flows that were last seen at `agent`, whose callers must hear that
     /// it is lost. Forgets their locations.
--- a/lib/relay/balancer.cpp
+++ b/lib/relay/balancer.cpp
@@ -343,7 +343,7 @@
     this->shell.loop.call_every(slow_tick, [this] {
         const support::instant now = this->shell.now();
         this->members.tick(now);
-        this->dispatcher.tick(now);
+        this->tick_searches();
         this->remove_abandoned();
         std::erase_if(this->balancers, [now](const auto& entry) {
             return now - entry.second > balancer_lifetime;
