--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -16,7 +16,6 @@
 import shutil
 import sys
 import tempfile
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import compare_policies as compare
@@ -78,7 +77,7 @@
             name: make_folder(Path(root), source, options.program, name)
             for name in [ALL_ON, *names]
         }
-        plays = play_all(options, folders, days, seeds)
+        plays = compare.play_all(options, folders, days, seeds)
         if options.journal:
             for folder in folders.values():
                 for entry in (folder / "journal").glob("*.json"):
@@ -89,26 +88,6 @@
         Path(options.page).write_text(table)
 
 
-def play_all(options, folders, days, seeds):
-    tasks = [
-        (name, site, day, seed)
-        for site, day in days
-        for seed in seeds
-        for name in folders
-    ]
-    with ThreadPoolExecutor(options.jobs) as pool:
-        reports = pool.map(
-            lambda task: compare.play(options.bench, folders[task[0]],
-                                      *task[1:], options),
-            tasks,
-        )
-        return {
-            task: compare.figures(report)
-            for task, report in zip(tasks, reports)
-            if report is not None
-        }
-
-
 def render(names, days, seeds, plays):
     sites = list(dict.fromkeys(site for site, _ in days))
     titles = [Path(site).stem for site in sites]
--- a/scripts/compare_policies.py
+++ b/scripts/compare_policies.py
@@ -76,6 +76,27 @@
         return json.loads(report.read_text())
 
 
+def play_all(options, checkouts, days, seeds):
+    """The figures of each (name, site, day, seed) that could be played."""
+    tasks = [
+        (name, site, day, seed)
+        for site, day in days
+        for seed in seeds
+        for name in checkouts
+    ]
+    with ThreadPoolExecutor(options.jobs) as pool:
+        reports = pool.map(
+            lambda task: play(options.bench, checkouts[task[0]], *task[1:],
+                              options),
+            tasks,
+        )
+        return {
+            task: figures(report)
+            for task, report in zip(tasks, reports)
+            if report is not None
+        }
+
+
 def figures(report):
     totals = report["all"]
     return {
@@ -116,25 +137,7 @@
     for checkout in variants.values():
         subprocess.run([options.bench, "build"], cwd=checkout, check=True,
                        capture_output=True)
-    tasks = [
-        (name, site, day, seed)
-        for site, day in days
-        for seed in seeds
-        for name in variants
-    ]
-    with ThreadPoolExecutor(options.jobs) as pool:
-        reports = list(
-            pool.map(
-                lambda task: play(options.bench, variants[task[0]], *task[1:],
-                                  options),
-                tasks,
-            )
-        )
-    plays = {
-        task: figures(report)
-        for task, report in zip(tasks, reports)
-        if report is not None
-    }
+    plays = play_all(options, variants, days, seeds)
     print_table(variants, days, seeds, plays)
     if options.csv:
         write_csv(options.csv, plays)
