--- a/review/fleet.py
+++ b/review/fleet.py
@@ -16,9 +16,7 @@
 import os
 import random
 import shutil
-import signal
 import socket
-import struct
 import sys
 import tempfile
 import threading
