Logs and metrics show how each version reached each process

Ruled out: a new event for each summary, which would write hundreds of lines a second; only the first one that announces a revision is logged. Before: view_changed and view_fetch_failed only. No decision changes.

--- a/include/guavastair/routing.hpp
+++ b/include/guavastair/routing.hpp
@@ -83,6 +83,8 @@
     configuration config;
     /// The configuration as it was written, to be sent to peers.
     std::string config_text;
+    /// Number of routes and services in `config_text` that could not be read.
+    std::size_t skipped_items = 0;
     std::set<support::data_centre_name> withdrawn;
 };
 
--- a/lib/relay/store_drivers.cpp
+++ b/lib/relay/store_drivers.cpp
@@ -88,6 +88,7 @@
         settings.prefix, watch.after, watch.wait,
         [this](const absl::StatusOr<registry::changes>& response) {
             if (response.ok()) {
+                this->log_lost_history(*response);
                 this->on_call_succeeded(
                     this->follower.on_changes(this->context.now(), *response));
             } else {
@@ -96,6 +97,16 @@
         });
 }
 
+void follower_driver::log_lost_history(const registry::changes& result) {
+    if (!result.history_lost) {
+        return;
+    }
+    logging::line line("history_lost");
+    line.add("use", this->follower.settings().prefix)
+        .add("as_of", this->follower.as_of().value);
+    this->context.log(logging::level::warn, "history_lost", line);
+}
+
 void follower_driver::on_call_succeeded(bool is_complete) {
     log_store_state_change(this->context, this->follower.settings().prefix,
                            this->was_failing, absl::OkStatus());
--- a/lib/relay/store_drivers.hpp
+++ b/lib/relay/store_drivers.hpp
@@ -31,6 +31,7 @@
 private:
     void advance();
     void make_call(const registry::follower_call& call);
+    void log_lost_history(const registry::changes& result);
     void on_call_succeeded(bool is_complete);
     void on_call_failed(const absl::Status& error);
 
--- a/lib/relay/view_synchronizer.cpp
+++ b/lib/relay/view_synchronizer.cpp
@@ -1,6 +1,8 @@
 #include "operator_documents.hpp"
 #include "view_synchronizer.hpp"
 
+#include <algorithm>
+
 namespace guavastair::relay {
 
 static constexpr absl::string_view view_target = "/view";
@@ -73,7 +75,9 @@
         .add("outcome", routing::to_string(result))
         .add("as_of", as_of)
         .add("version", this->state.view().config.version)
+        .add("revision", this->state.view().config_revision.value)
         .add("routes", this->state.view().config.routes.size())
+        .add("skipped", this->state.view().skipped_items)
         .add("withdrawn", this->state.view().withdrawn.size());
     this->context.log(logging::level::info, "view_changed", line);
     if (result == routing::adoption::replaced) {
@@ -89,6 +93,7 @@
     const support::instant now = this->context.now();
     const bool is_fetching =
         this->fetch_client != nullptr && this->fetch_client->busy();
+    this->log_newer_configuration(from, peer_summary, is_fetching);
     switch (this->view_fetch_policy.on_summary(
         now, this->summary(), peer_summary, this->state.has_configuration())) {
     case peer::view_fetch_policy::step::confirm:
@@ -104,27 +109,57 @@
     }
 }
 
+/// Logs the first summary that announces a configuration newer than all
+/// configurations announced before it.
+void view_synchronizer::log_newer_configuration(
+    support::endpoint from, const peer::view_summary& peer_summary,
+    bool is_fetching) {
+    if (peer_summary.config_revision <= this->summary().config_revision ||
+        peer_summary.config_revision <= this->announced_revision) {
+        return;
+    }
+    this->announced_revision = peer_summary.config_revision;
+    logging::line line("newer_configuration");
+    line.add("peer", from)
+        .add("revision", peer_summary.config_revision.value)
+        .add("own_revision", this->summary().config_revision.value)
+        .add("fetching", is_fetching);
+    this->context.log(logging::level::info, "newer_configuration", line);
+}
+
+void view_synchronizer::log_fetch(absl::string_view event,
+                                  support::endpoint from,
+                                  support::instant started_at,
+                                  const absl::Status& failure) {
+    logging::line line(event);
+    line.add("peer", from).add("ms", (this->context.now() - started_at).ms);
+    if (!failure.ok()) {
+        line.add("why", failure.message());
+    }
+    this->context.log(failure.ok() ? logging::level::info
+                                   : logging::level::warn,
+                      event, line);
+}
+
 void view_synchronizer::fetch_view(support::endpoint from) {
+    const support::instant started_at = this->context.now();
     this->fetch_client =
         std::make_unique<http::client>(this->context.loop, from);
     this->fetch_client->send(
         {"GET", std::string(view_target), ""}, fetch_timeout,
-        [this, from](const http::client::outcome& outcome) {
-            absl::Status failure = outcome.result.status();
-            if (outcome.result.ok()) {
-                auto view = platform::parse_view(outcome.result->body);
-                failure = view.status();
-                if (view.ok()) {
-                    this->adopt_view(*std::move(view),
-                                     support::to_string(from));
-                }
-            }
-            if (!failure.ok()) {
-                logging::line line("view_fetch_failed");
-                line.add("peer", from).add("why", failure.message());
-                this->context.log(logging::level::warn, "view_fetch_failed",
-                                  line);
+        [this, from, started_at](const http::client::outcome& outcome) {
+            auto view = outcome.result.ok()
+                            ? platform::parse_view(outcome.result->body)
+                            : outcome.result.status();
+            if (!view.ok()) {
+                ++this->fetch_counts.failed;
+                this->log_fetch("view_fetch_failed", from, started_at,
+                                view.status());
+                return;
             }
+            ++this->fetch_counts.completed;
+            this->log_fetch("view_fetched", from, started_at, absl::OkStatus());
+            this->adopt_view(*std::move(view), support::to_string(from));
         });
 }
 
@@ -140,6 +175,14 @@
     return this->state.confirmed_at() >= this->resumed_at;
 }
 
+view_fetch_counts view_synchronizer::fetches() const {
+    return this->fetch_counts;
+}
+
+support::revision view_synchronizer::announced_configuration() const {
+    return std::max(this->announced_revision, this->summary().config_revision);
+}
+
 void view_synchronizer::on_resumed() {
     this->resumed_at = this->context.now();
 }
--- a/lib/relay/view_synchronizer.hpp
+++ b/lib/relay/view_synchronizer.hpp
@@ -15,6 +15,12 @@
 
 namespace guavastair::relay {
 
+/// Numbers of views requested from peers since the process started.
+struct view_fetch_counts {
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+};
+
 /// Holds the operators' view that is in force in this process. Updates it from
 /// the store or from a peer with a newer view, and serves it to peers.
 class view_synchronizer {
@@ -41,6 +47,12 @@
     /// started or last resumed after a pause.
     bool is_confirmed() const;
 
+    view_fetch_counts fetches() const;
+
+    /// The latest revision of the configuration that this process knows to
+    /// exist, whether or not it has that configuration.
+    support::revision announced_configuration() const;
+
     /// Notes that the process has resumed after a pause.
     void on_resumed();
 
@@ -48,6 +60,11 @@
     void on_store_update();
     void adopt_view(routing::operator_view view, absl::string_view source);
     void fetch_view(support::endpoint from);
+    void log_newer_configuration(support::endpoint from,
+                                 const peer::view_summary& peer_summary,
+                                 bool is_fetching);
+    void log_fetch(absl::string_view event, support::endpoint from,
+                   support::instant started_at, const absl::Status& failure);
     http::response handle_peer_request(const http::request& request) const;
 
     process_context& context;
@@ -57,6 +74,8 @@
     http::server server;
     std::unique_ptr<http::client> fetch_client;
     peer::view_fetch_policy view_fetch_policy;
+    view_fetch_counts fetch_counts;
+    support::revision announced_revision;
     support::instant resumed_at;
 };
 
