An older configuration no longer overrules a newer one

What callers saw: openings on a route that had just been added were reset, although the balancer that took them had the configuration with the route.

Cause: a balancer and an agent decide on one opening, each by the configuration that it has, and neither says which. An agent that learns of a change late (its watch hears nothing, or the store turns it away) takes an unknown address for one without a route. The class of fault: a process concludes that something does not exist from a list that it could know to be old. The same conclusion was drawn by a balancer that peers had told of a newer configuration: it reset openings during the 300 ms for which it leaves the fetch to the store.

Ruled out: fetching without the 300 ms for every announced change, which would make all agents ask the first few balancers at each change; holding all openings while a newer configuration is known, which would delay routes that the change does not touch; taking the balancer's word for a route in place of the agent's gate, which would let a balancer decide for services that it does not know.

Change: an opening carries the revision of the balancer's configuration. An agent with an older one that finds no matching route does not refuse: it fetches the balancer's view at once and passes the opening on; after the last agent it is dropped, so that the caller's copy 200 ms later finds the route. A balancer that knows of a newer configuration holds openings without a route for it, and fetches it at once. An announcement counts for 3 s, so that a peer that is gone cannot keep openings of unknown addresses waiting.

Before: the new process test, "agents with an older version do not refuse an added route", failed at its second change (caller got a reset). After: it passes; so do the decision tests of gate, owner table, dispatcher and routing state added here, and the other tests of these five libraries. Conclusion: the reset of an added route is mended where it was seen.

--- a/include/guavastair/ownership.hpp
+++ b/include/guavastair/ownership.hpp
@@ -259,6 +259,9 @@
     unregistered,
     no_route,
     foreign_service,
+    /// The route is unknown or leads elsewhere, but the balancer has a newer
+    /// configuration.
+    outdated,
     withdrawn,
     server_unknown,
     draining,
@@ -270,7 +273,7 @@
 };
 
 /// Number of values in gate_reason.
-inline constexpr std::size_t gate_reason_count = 14;
+inline constexpr std::size_t gate_reason_count = 15;
 
 absl::string_view to_string(gate_reason reason);
 
@@ -296,6 +299,8 @@
     bool has_route = false;
     /// The route leads to the server's service.
     bool route_matches_service = false;
+    /// The balancer chose the service by a newer configuration.
+    bool is_outdated = false;
     /// The data centre is withdrawn.
     bool is_withdrawn = false;
     peer::server_condition condition = peer::server_condition::unknown;
@@ -344,6 +349,8 @@
     table_full,
     /// The agent does not have all the information for a decision yet.
     starting,
+    /// The agent does not have the configuration that the decision needs yet.
+    outdated,
 };
 
 absl::string_view to_string(basis why);
@@ -360,6 +367,8 @@
     bool is_last = false;
     /// The packet came from another agent, not from the balancer.
     bool was_passed_on = false;
+    /// The revision of the balancer's configuration.
+    support::revision config_revision;
 };
 
 struct action {
--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -169,6 +169,9 @@
     /// For open: all candidates have been tried, so the packet is no longer
     /// forwarded to a better candidate.
     bool is_last_offer = false;
+    /// For open: the revision that wrote the configuration by which the
+    /// balancer chose the service.
+    support::revision config_revision;
     /// The packet as received.
     std::span<const std::byte> packet;
 };
--- a/include/guavastair/routing.hpp
+++ b/include/guavastair/routing.hpp
@@ -103,6 +103,10 @@
 
 absl::string_view to_string(adoption result);
 
+/// How long an announced configuration counts if it is not announced again.
+/// Several times the interval at which peers send summaries of their views.
+inline constexpr support::duration announcement_lifetime = support::seconds(3);
+
 /// The view in force in one process. Not thread-safe.
 class routing_state {
 public:
@@ -121,6 +125,16 @@
     /// Ignored if `as_of` is older than that of the view in force.
     void confirm(support::revision as_of, support::instant now);
 
+    /// Records that a configuration of this revision exists elsewhere.
+    void announce(support::revision config_revision, support::instant now);
+
+    /// The latest revision of a configuration that was adopted or announced.
+    support::revision announced_configuration() const;
+
+    /// Whether a newer configuration than the one in force has been announced
+    /// within the last `announcement_lifetime`.
+    bool is_outdated(support::instant now) const;
+
     const operator_view& view() const;
     std::uint64_t contents_digest() const;
 
--- a/include/guavastair/steering.hpp
+++ b/include/guavastair/steering.hpp
@@ -238,6 +238,8 @@
     nowhere,
     /// This balancer or the agents of the service are still starting.
     starting,
+    /// No route leads from the address, but a newer configuration exists.
+    outdated,
 };
 
 absl::string_view to_string(dispatch_basis basis);
--- a/lib/ownership/gate.cpp
+++ b/lib/ownership/gate.cpp
@@ -34,6 +34,10 @@
     if (!inputs.is_discoverable) {
         return gate_reason::unregistered;
     }
+    if (inputs.is_outdated &&
+        !(inputs.has_route && inputs.route_matches_service)) {
+        return gate_reason::outdated;
+    }
     if (!inputs.has_route) {
         return gate_reason::no_route;
     }
--- a/lib/ownership/owner_table.cpp
+++ b/lib/ownership/owner_table.cpp
@@ -258,11 +258,12 @@
     }
     const bool has_candidates = !incoming.candidates.empty();
     const bool is_exhausted = !has_candidates && incoming.willing.empty();
+    const bool is_outdated = gate.reason == gate_reason::outdated;
     if (gate.answer == gate_answer::refuse && is_exhausted &&
-        is_starting(gate.reason)) {
+        (is_outdated || is_starting(gate.reason))) {
         // The caller soon retransmits its opening packet.
         action result;
-        result.why = basis::starting;
+        result.why = is_outdated ? basis::outdated : basis::starting;
         result.balancer = incoming.balancer;
         return result;
     }
--- a/lib/peer/codec.cpp
+++ b/lib/peer/codec.cpp
@@ -113,6 +113,7 @@
                body.candidates);
     write_list(to.initWilling(bounded_size(body.willing)), body.willing);
     to.setIsLastOffer(body.is_last_offer);
+    to.setConfigRevision(body.config_revision.value);
     to.setPacket(to_data(body.packet));
 }
 
@@ -261,6 +262,7 @@
         return malformed("more than 16 willing agents");
     }
     body.is_last_offer = from.getIsLastOffer();
+    body.config_revision = {from.getConfigRevision()};
     body.packet = read_data(from.getPacket());
     return body;
 }
--- a/lib/peer/peer.capnp
+++ b/lib/peer/peer.capnp
@@ -54,6 +54,7 @@
   packet @3 :Data;
   willing @4 :List(UInt64);
   isLastOffer @5 :Bool;
+  configRevision @6 :Int64;
 }
 
 struct Owned {
--- a/lib/peer/peer.capnp.h
+++ b/lib/peer/peer.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9b3bb0c94dcfa32, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d9b3bb0c94dcfa32, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -798,6 +798,8 @@
 
   inline bool getIsLastOffer() const;
 
+  inline  ::int64_t getConfigRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -858,6 +860,9 @@
   inline bool getIsLastOffer();
   inline void setIsLastOffer(bool value);
 
+  inline  ::int64_t getConfigRevision();
+  inline void setConfigRevision( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2214,6 +2219,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Carry::Reader::getConfigRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Carry::Builder::getConfigRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Carry::Builder::setConfigRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Owned::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/lib/relay/agent.hpp
+++ b/lib/relay/agent.hpp
@@ -67,7 +67,9 @@
     /// Whether every balancer has discovered this agent or has had enough time
     /// to. A balancer that has not would treat a flow opened here as lost.
     bool is_known_to_balancers() const;
-    ownership::gate_state evaluate_opening(const flow::packet& opening);
+    ownership::gate_state
+    evaluate_opening(const flow::packet& opening,
+                     support::revision balancer_config_revision);
     ownership::gate_inputs gate_inputs();
     ownership::opening_terms terms_of(const routing::route& target,
                                       const flow::packet& opening) const;
--- a/lib/relay/agent_packets.cpp
+++ b/lib/relay/agent_packets.cpp
@@ -57,7 +57,9 @@
 }
 
 /// Decides whether the server may accept a caller's opening packet.
-ownership::gate_state agent::evaluate_opening(const flow::packet& opening) {
+ownership::gate_state
+agent::evaluate_opening(const flow::packet& opening,
+                        support::revision balancer_config_revision) {
     const support::endpoint service_address = opening.key.service;
     const routing::routing_state& active_routing =
         this->view_sync.active_routing();
@@ -66,6 +68,8 @@
     inputs.has_route = target != nullptr;
     inputs.route_matches_service = active_routing.routes_to(
         service_address, this->context.settings.service);
+    inputs.is_outdated =
+        balancer_config_revision > active_routing.view().config_revision;
     if (target != nullptr) {
         inputs.terms = this->terms_of(*target, opening);
         inputs.request_timeout = target->timeout;
@@ -185,6 +189,7 @@
         body.candidates = decision.next_offer.candidates;
         body.willing = decision.next_offer.willing;
         body.is_last_offer = decision.next_offer.is_last;
+        body.config_revision = decision.next_offer.config_revision;
         body.packet = bytes;
         this->link.send(decision.next, body);
         break;
@@ -217,11 +222,15 @@
     const support::instant now = this->context.now();
     if (body.kind == peer::carry_kind::open) {
         const ownership::gate_state gate =
-            this->evaluate_opening(packet->header);
+            this->evaluate_opening(packet->header, body.config_revision);
+        if (gate.reason == ownership::gate_reason::outdated) {
+            this->view_sync.fetch_newer_configuration(body.balancer,
+                                                      body.config_revision);
+        }
         const ownership::action decision = this->flow_table.on_opening(
             now, packet->header, gate,
             {body.balancer, body.candidates, body.willing, body.is_last_offer,
-             from != body.balancer});
+             from != body.balancer, body.config_revision});
         if (decision.why == ownership::basis::opened) {
             this->budget.spend(now);
         }
--- a/lib/relay/balancer_packets.cpp
+++ b/lib/relay/balancer_packets.cpp
@@ -70,6 +70,9 @@
     this->decisions.count(steering::to_string(decision.kind),
                           steering::to_string(decision.basis));
     this->log_dispatch(decision, key);
+    if (decision.basis == steering::dispatch_basis::outdated) {
+        this->view_sync.fetch_announced_configuration();
+    }
     if (decision.kind == steering::dispatch_kind::reset) {
         this->send_reset(bytes);
     }
@@ -78,6 +81,7 @@
         body.kind = decision.carry;
         body.balancer = this->context.settings.peers;
         body.candidates = decision.candidates;
+        body.config_revision = this->view_sync.summary().config_revision;
         body.packet = bytes;
         for (const support::endpoint agent : decision.to) {
             this->link.send(agent, body);
--- a/lib/relay/metrics_page.cpp
+++ b/lib/relay/metrics_page.cpp
@@ -37,14 +37,15 @@
                        return static_cast<double>(
                            view_sync.summary().config_revision.value);
                    });
-    page.add_gauge({"guavastair_configuration_revision_announced",
-                    "Latest revision of the configuration that a peer or the "
-                    "store has announced.",
-                    {}},
-                   [&view_sync] {
-                       return static_cast<double>(
-                           view_sync.announced_configuration().value);
-                   });
+    page.add_gauge(
+        {"guavastair_configuration_revision_announced",
+         "Latest revision of the configuration that a peer or the "
+         "store has announced.",
+         {}},
+        [&view_sync] {
+            return static_cast<double>(
+                view_sync.active_routing().announced_configuration().value);
+        });
     page.add_counter({"guavastair_view_fetches_total",
                       "Views requested from peers.",
                       {{"outcome", "completed"}}},
--- a/lib/relay/view_synchronizer.cpp
+++ b/lib/relay/view_synchronizer.cpp
@@ -1,8 +1,6 @@
 #include "operator_documents.hpp"
 #include "view_synchronizer.hpp"
 
-#include <algorithm>
-
 namespace guavastair::relay {
 
 static constexpr absl::string_view view_target = "/view";
@@ -91,16 +89,14 @@
         return;
     }
     const support::instant now = this->context.now();
-    const bool is_fetching =
-        this->fetch_client != nullptr && this->fetch_client->busy();
-    this->log_newer_configuration(from, peer_summary, is_fetching);
+    this->on_announcement(from, peer_summary.config_revision);
     switch (this->view_fetch_policy.on_summary(
         now, this->summary(), peer_summary, this->state.has_configuration())) {
     case peer::view_fetch_policy::step::confirm:
         this->state.confirm(peer_summary.as_of, now);
         break;
     case peer::view_fetch_policy::step::fetch:
-        if (!is_fetching) {
+        if (!this->is_fetching()) {
             this->fetch_view(from);
         }
         break;
@@ -109,24 +105,43 @@
     }
 }
 
-/// Logs the first summary that announces a configuration newer than all
-/// configurations announced before it.
-void view_synchronizer::log_newer_configuration(
-    support::endpoint from, const peer::view_summary& peer_summary,
-    bool is_fetching) {
-    if (peer_summary.config_revision <= this->summary().config_revision ||
-        peer_summary.config_revision <= this->announced_revision) {
+bool view_synchronizer::is_fetching() const {
+    return this->fetch_client != nullptr && this->fetch_client->busy();
+}
+
+/// Records that a peer has a newer configuration. Logs the first announcement
+/// of each revision.
+void view_synchronizer::on_announcement(support::endpoint from,
+                                        support::revision config_revision) {
+    const support::revision known = this->state.announced_configuration();
+    if (config_revision <= this->state.view().config_revision) {
+        return;
+    }
+    this->announcer = from;
+    this->state.announce(config_revision, this->context.now());
+    if (config_revision <= known) {
         return;
     }
-    this->announced_revision = peer_summary.config_revision;
     logging::line line("newer_configuration");
     line.add("peer", from)
-        .add("revision", peer_summary.config_revision.value)
-        .add("own_revision", this->summary().config_revision.value)
-        .add("fetching", is_fetching);
+        .add("revision", config_revision.value)
+        .add("own_revision", this->state.view().config_revision.value)
+        .add("fetching", this->is_fetching());
     this->context.log(logging::level::info, "newer_configuration", line);
 }
 
+void view_synchronizer::fetch_newer_configuration(
+    support::endpoint peer, support::revision config_revision) {
+    this->on_announcement(peer, config_revision);
+    this->fetch_announced_configuration();
+}
+
+void view_synchronizer::fetch_announced_configuration() {
+    if (this->state.is_outdated(this->context.now()) && !this->is_fetching()) {
+        this->fetch_view(this->announcer);
+    }
+}
+
 void view_synchronizer::log_fetch(absl::string_view event,
                                   support::endpoint from,
                                   support::instant started_at,
@@ -179,10 +194,6 @@
     return this->fetch_counts;
 }
 
-support::revision view_synchronizer::announced_configuration() const {
-    return std::max(this->announced_revision, this->summary().config_revision);
-}
-
 void view_synchronizer::on_resumed() {
     this->resumed_at = this->context.now();
 }
--- a/lib/relay/view_synchronizer.hpp
+++ b/lib/relay/view_synchronizer.hpp
@@ -43,16 +43,21 @@
     void on_peer_view(support::endpoint from,
                       const peer::view_summary& peer_summary);
 
+    /// Fetches the view of a peer that has a newer configuration at once,
+    /// because a packet waits for it.
+    void fetch_newer_configuration(support::endpoint peer,
+                                   support::revision config_revision);
+
+    /// Fetches the newest configuration that a peer has announced at once,
+    /// because a packet waits for it.
+    void fetch_announced_configuration();
+
     /// Whether the view has been confirmed as complete since the process
     /// started or last resumed after a pause.
     bool is_confirmed() const;
 
     view_fetch_counts fetches() const;
 
-    /// The latest revision of the configuration that this process knows to
-    /// exist, whether or not it has that configuration.
-    support::revision announced_configuration() const;
-
     /// Notes that the process has resumed after a pause.
     void on_resumed();
 
@@ -60,9 +65,9 @@
     void on_store_update();
     void adopt_view(routing::operator_view view, absl::string_view source);
     void fetch_view(support::endpoint from);
-    void log_newer_configuration(support::endpoint from,
-                                 const peer::view_summary& peer_summary,
-                                 bool is_fetching);
+    bool is_fetching() const;
+    void on_announcement(support::endpoint from,
+                         support::revision config_revision);
     void log_fetch(absl::string_view event, support::endpoint from,
                    support::instant started_at, const absl::Status& failure);
     http::response handle_peer_request(const http::request& request) const;
@@ -75,7 +80,8 @@
     std::unique_ptr<http::client> fetch_client;
     peer::view_fetch_policy view_fetch_policy;
     view_fetch_counts fetch_counts;
-    support::revision announced_revision;
+    /// The peer that announced the latest newer configuration.
+    support::endpoint announcer;
     support::instant resumed_at;
 };
 
--- a/lib/routing/routing_state.cpp
+++ b/lib/routing/routing_state.cpp
@@ -50,6 +50,8 @@
     operator_view current;
     std::uint64_t current_digest = digest(operator_view{});
     support::instant last_confirmed{INT64_MIN / 2};
+    support::revision announced_revision;
+    support::instant announced_at{INT64_MIN / 2};
     std::unordered_map<support::endpoint, std::size_t, endpoint_hash>
         route_indices;
     std::unordered_map<support::endpoint, std::vector<support::service_name>,
@@ -138,6 +140,28 @@
     this->self->last_confirmed = now;
 }
 
+void routing_state::announce(support::revision config_revision,
+                             support::instant now) {
+    const bool has_expired =
+        now - this->self->announced_at > announcement_lifetime;
+    if (config_revision < this->self->announced_revision && !has_expired) {
+        return;
+    }
+    this->self->announced_revision = config_revision;
+    this->self->announced_at = now;
+}
+
+support::revision routing_state::announced_configuration() const {
+    return std::max(this->self->announced_revision,
+                    this->self->current.config_revision);
+}
+
+bool routing_state::is_outdated(support::instant now) const {
+    return this->self->announced_revision >
+               this->self->current.config_revision &&
+           now - this->self->announced_at <= announcement_lifetime;
+}
+
 const operator_view& routing_state::view() const {
     return this->self->current;
 }
--- a/lib/steering/dispatcher.cpp
+++ b/lib/steering/dispatcher.cpp
@@ -17,10 +17,11 @@
 static constexpr std::array<absl::string_view, 4> dispatch_names{
     "send", "hold", "reset", "drop"};
 
-static constexpr std::array<absl::string_view, 12> basis_names{
+static constexpr std::array<absl::string_view, 13> basis_names{
     "opening",       "repeated_opening", "located",      "searching",
     "no_route",      "no_configuration", "no_candidate", "held",
-    "search_failed", "overload",         "nowhere",      "starting"};
+    "search_failed", "overload",         "nowhere",      "starting",
+    "outdated"};
 
 absl::string_view to_string(dispatch_kind kind) {
     return dispatch_names[static_cast<std::size_t>(kind)];
@@ -189,6 +190,9 @@
                              dispatch_basis::no_configuration);
     }
     const routing::route* target = this->routes.find_route(packet.key.service);
+    if (target == nullptr && this->routes.is_outdated(now)) {
+        return make_dispatch(dispatch_kind::drop, dispatch_basis::outdated);
+    }
     if (target == nullptr) {
         const bool is_configuration_fresh =
             now - this->routes.confirmed_at() <=
@@ -299,11 +303,12 @@
 dispatcher::~dispatcher() = default;
 
 /// Whether the packet was dropped only because this balancer or the agents of
-/// the service are still starting.
+/// the service are still starting, or the configuration is outdated.
 static bool is_early(const dispatch& decision) {
     return decision.kind == dispatch_kind::drop &&
            (decision.basis == dispatch_basis::no_configuration ||
-            decision.basis == dispatch_basis::starting);
+            decision.basis == dispatch_basis::starting ||
+            decision.basis == dispatch_basis::outdated);
 }
 
 dispatch dispatcher::on_packet(support::instant now, const flow::packet& packet,
--- a/test/platform_test.py
+++ b/test/platform_test.py
@@ -102,6 +102,32 @@
         counts = [vm.metric("guavastair_configuration_version") for vm in refused]
         self.assertEqual(counts, [self.version] * len(refused))
 
+    # Guards against an added route that is refused: agents that learn of a
+    # configuration late must not overrule the balancer that has it.
+    def test_agents_with_an_older_version_do_not_refuse_an_added_route(self):
+        self.start_all()
+        self.wait_ready()
+        for vm in self.agents:
+            self.store.faults[vm.name].rejects_calls = True
+        added = ("198.18.0.2", 443)
+        for number in range(5):
+            self.routes[added] = "portal"
+            self.configure()
+            self.await_version(self.balancers)
+            flow = self.caller.open(added)
+            self.assertIsNotNone(flow, f"change {number}")
+            self.assertIsNotNone(self.caller.send_request(flow, "new-route"))
+            added = (added[0], added[1] + 1)
+
+    def await_version(self, processes):
+        def have_version():
+            return all(
+                vm.metric("guavastair_configuration_version") == self.version
+                for vm in processes
+            )
+
+        wait_until(have_version, APPLY_BOUND_S, f"version {self.version}")
+
     def test_agent_serves_after_a_delayed_store_write(self):
         late = self.agents[0]
         self.store.faults[late.name].write_delay_s = 4.0
--- a/unittests/ownership/gate_test.cpp
+++ b/unittests/ownership/gate_test.cpp
@@ -85,3 +85,20 @@
         CHECK(!ownership::to_string(static_cast<gate_reason>(i)).empty());
     }
 }
+
+// Guards against an added route that is refused (effsa-lb-grown).
+TEST_CASE("an agent with an older configuration than the balancer's does not "
+          "rule on an unknown route") {
+    for (const bool has_route : {false, true}) {
+        auto inputs = open_gate();
+        inputs.is_outdated = true;
+        inputs.has_route = has_route;
+        inputs.route_matches_service = false;
+        const auto state = ownership::judge_opening(inputs);
+        CHECK(state.answer == gate_answer::refuse);
+        CHECK(state.reason == gate_reason::outdated);
+    }
+    auto inputs = open_gate();
+    inputs.is_outdated = true;
+    CHECK(ownership::judge_opening(inputs).answer == gate_answer::accept);
+}
--- a/unittests/ownership/owner_table_test.cpp
+++ b/unittests/ownership/owner_table_test.cpp
@@ -338,3 +338,24 @@
     CHECK(action.kind == action_kind::pass_on);
     CHECK(action.why == basis::table_full);
 }
+
+// Guards against an added route that is refused (effsa-lb-grown).
+TEST_CASE("an opening that no agent can rule on for lack of the newer "
+          "configuration is left to its copies") {
+    const ownership::gate_state outdated_gate{gate_answer::refuse,
+                                              gate_reason::outdated};
+    agent_fixture a;
+    ownership::offer first{balancer, {other_agent}};
+    first.config_revision = {40};
+    const auto passed =
+        a.table.on_opening(a.now, opening, outdated_gate, first);
+    CHECK(passed.kind == action_kind::pass_on);
+    CHECK(passed.next == other_agent);
+    CHECK(passed.next_offer.config_revision == support::revision{40});
+    const auto last =
+        a.table.on_opening(a.now, opening, outdated_gate, passed.next_offer);
+    CHECK(last.kind == action_kind::drop);
+    CHECK(last.why == basis::outdated);
+    const auto copy = a.open();
+    CHECK(copy.why == basis::opened);
+}
--- a/unittests/peer/codec_test.cpp
+++ b/unittests/peer/codec_test.cpp
@@ -96,6 +96,7 @@
     body.candidates.assign(peer::max_listed_endpoints, {{3}, 4});
     body.willing.assign(peer::max_listed_endpoints, {{5}, 6});
     body.is_last_offer = true;
+    body.config_revision = {INT64_MAX};
     body.packet = packet;
     const encoded sent = encode(body);
     const auto read = peer::decode(sent.view());
@@ -106,6 +107,7 @@
     CHECK(got.candidates == body.candidates);
     CHECK(got.willing == body.willing);
     CHECK(got.is_last_offer);
+    CHECK(got.config_revision == body.config_revision);
     REQUIRE(got.packet.size() == packet.size());
     CHECK(std::memcmp(got.packet.data(), packet.data(), packet.size()) == 0);
 }
--- a/unittests/routing/routing_state_test.cpp
+++ b/unittests/routing/routing_state_test.cpp
@@ -149,3 +149,23 @@
     CHECK(counts["c"] == 0);
     CHECK(routing::choose_service({}, 1) == nullptr);
 }
+
+TEST_CASE("a state is outdated until the announced configuration is adopted or "
+          "is announced no more") {
+    routing::routing_state state;
+    state.adopt(view(10, 10, 4), {0});
+    CHECK_FALSE(state.is_outdated({0}));
+    state.announce({10}, {1});
+    CHECK_FALSE(state.is_outdated({1}));
+    state.announce({12}, {1});
+    state.announce({11}, {2});
+    CHECK(state.is_outdated({2}));
+    CHECK(state.announced_configuration() == support::revision{12});
+    const support::instant end =
+        support::instant{1} + routing::announcement_lifetime;
+    CHECK(state.is_outdated(end));
+    CHECK_FALSE(state.is_outdated(end + support::milliseconds(1)));
+    state.announce({12}, end);
+    state.adopt(view(12, 12, 8), end);
+    CHECK_FALSE(state.is_outdated(end));
+}
--- a/unittests/steering/dispatcher_test.cpp
+++ b/unittests/steering/dispatcher_test.cpp
@@ -401,3 +401,41 @@
           settings.search_messages_per_second * seconds + overrun);
     CHECK(messages > 0);
 }
+
+// Guards against an added route that is refused (effsa-lb-grown).
+TEST_CASE("an opening without a route waits for an announced configuration") {
+    balancer b;
+    b.routes.announce({50}, b.now);
+    flow::packet added = opening;
+    added.key.service.port = 8443;
+    const auto held = b.receive(added);
+    CHECK(held.kind == dispatch_kind::hold);
+    CHECK(held.basis == dispatch_basis::outdated);
+    auto newer = view_of(1);
+    newer.as_of = {50};
+    newer.config_revision = {50};
+    newer.config.version = 50;
+    newer.config_text = "newer";
+    newer.config.routes.push_back(newer.config.routes.front());
+    newer.config.routes.back().address = added.key.service;
+    b.routes.adopt(newer, b.now);
+    const auto released = b.dispatcher.tick(b.now);
+    REQUIRE(released.size() == 1);
+    CHECK(released.front().step.kind == dispatch_kind::send);
+    CHECK(released.front().step.basis == dispatch_basis::opening);
+}
+
+TEST_CASE("an opening without a route is reset once the configuration in force "
+          "is the newest that is announced") {
+    balancer b;
+    b.routes.announce({50}, b.now);
+    flow::packet unknown = opening;
+    unknown.key.service.port = 8443;
+    auto newer = view_of(1);
+    newer.as_of = {50};
+    newer.config_revision = {50};
+    newer.config.version = 50;
+    newer.config_text = "newer";
+    b.routes.adopt(newer, b.now);
+    CHECK(b.receive(unknown).kind == dispatch_kind::reset);
+}
