--- a/unittests/platform/operator_documents_test.cpp
+++ b/unittests/platform/operator_documents_test.cpp
@@ -90,3 +90,27 @@
         CHECK_FALSE(platform::parse_view(text).ok());
     }
 }
+
+TEST_CASE("odd items beside valid ones do not keep a configuration from being "
+          "read") {
+    const std::string nested = std::string(50, '[') + std::string(50, ']');
+    const std::string odd =
+        R"({"host":)" + nested + R"(,"prefix":"/80/","backend":"b"})";
+    const std::string text = R"({"version":3,"routes":[)" + odd +
+                             R"(,{"host":"10.9.0.1","prefix":"/80/",)"
+                             R"("backend":"b"}],"backends":[]})";
+    std::size_t skipped = 0;
+    const auto read = platform::parse_configuration(text, &skipped);
+    REQUIRE(read.ok());
+    CHECK(skipped == 1);
+    CHECK(read->routes.size() == 1);
+}
+
+TEST_CASE("a deeply nested view or configuration is refused") {
+    constexpr std::size_t depth = 500'000;
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(
+        platform::parse_configuration(R"({"version":)" + nested + "}").ok());
+    CHECK_FALSE(platform::parse_view(R"({"as_of":)" + nested + "}").ok());
+}
--- a/unittests/platform/server_report_test.cpp
+++ b/unittests/platform/server_report_test.cpp
@@ -96,3 +96,22 @@
         CHECK(platform::failure_response(call.status()).status == 404);
     }
 }
+
+// Guards against a process that ends by itself: the error for an invalid field
+// quotes the value, and writing a value recurses for each level.
+TEST_CASE("a deeply nested field is refused") {
+    constexpr std::size_t depth = 30'000;
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string field :
+         {"\"b1\"", "5", "\"draining\"", "120.5", "[1]"}) {
+        const auto call =
+            platform::read_control_call(report(changed(field, nested)));
+        REQUIRE_FALSE(call.ok());
+        CHECK(support::kind_of(call.status()) ==
+              support::error_kind::invalid_input);
+    }
+    const auto call =
+        platform::read_control_call(report(changed("[1]", R"(["[[{\"[["])")));
+    CHECK(call.ok());
+}
