A status report of more than 64 KiB is refused

Cause: a report may have as many bytes as any HTTP body (4 MiB), and parsing needs many times that, up to beyond the memory of a small VM. Ruled out: a lower limit for all bodies, since views and store pages are larger. Before: the new test's report of 1 MiB was read. After: it is refused, with its size and the limit. What the HTTP server itself buffers for many connections is unchanged.

--- a/unittests/platform/server_report_test.cpp
+++ b/unittests/platform/server_report_test.cpp
@@ -115,3 +115,13 @@
         platform::read_control_call(report(changed("[1]", R"(["[[{\"[["])")));
     CHECK(call.ok());
 }
+
+// Guards against a process that exceeds its memory while it parses a report.
+TEST_CASE("the error of a report that is too large names its size") {
+    const std::string large = "[" + std::string(1 << 20, ' ') + "]";
+    const auto call =
+        platform::read_control_call(report(changed("[1]", large)));
+    REQUIRE_FALSE(call.ok());
+    CHECK(std::string(call.status().message()).find("65536") !=
+          std::string::npos);
+}
