Numbers out of range in a configuration are limited

Cause: durations and rates were taken as they came. A warm-up beyond what an integer holds is undefined behaviour when it is converted; a priority above 32 bits wrapped to another one; a time-out near the largest integer overflows when it is added to the time. Ruled out: skipping such routes, which would refuse callers of a route that was added. In status reports such numbers and ports were refused before; a test now holds that.

--- a/unittests/platform/operator_documents_test.cpp
+++ b/unittests/platform/operator_documents_test.cpp
@@ -91,6 +91,26 @@
     }
 }
 
+TEST_CASE("numbers out of range in a configuration count as the largest "
+          "allowed ones") {
+    const std::string text = R"({"version":1,"routes":[
+        {"host":"10.9.0.1","prefix":"/80/","backend":"b",
+         "timeoutMs":9223372036854775807,"sloMs":-9223372036854775808,
+         "priority":4294967296}],
+        "backends":[{"name":"b","warmupS":1e300,"warmupPerS":1e300,
+         "maxConns":4294967296}],
+        "limits":{"idleTimeoutMs":9223372036854775807}})";
+    const auto read = platform::parse_configuration(text);
+    REQUIRE(read.ok());
+    const support::duration day = support::seconds(86'400);
+    CHECK(read->routes.at(0).timeout == day);
+    CHECK(read->routes.at(0).latency_objective == support::duration{});
+    CHECK(read->routes.at(0).priority == UINT32_MAX);
+    CHECK(read->services.at(0).warm_up == day);
+    CHECK(read->services.at(0).max_flows == UINT32_MAX);
+    CHECK(read->idle_timeout == day);
+}
+
 TEST_CASE("odd items beside valid ones do not keep a configuration from being "
           "read") {
     const std::string nested = std::string(50, '[') + std::string(50, ']');
--- a/unittests/platform/server_report_test.cpp
+++ b/unittests/platform/server_report_test.cpp
@@ -125,3 +125,19 @@
     CHECK(std::string(call.status().message()).find("65536") !=
           std::string::npos);
 }
+
+TEST_CASE("a report with a number out of range is refused") {
+    for (const std::string number :
+         {"1e400", "-1e400", "99999999999999999999", "1e30"}) {
+        for (const std::string field : {"5", "120.5", "4"}) {
+            const auto call =
+                platform::read_control_call(report(changed(field, number)));
+            CHECK_FALSE(call.ok());
+        }
+    }
+    for (const std::string port : {":0", ":65536", ":99999999999", ":-1"}) {
+        const auto call =
+            platform::read_control_call(report(changed(":8080", port)));
+        CHECK_FALSE(call.ok());
+    }
+}
