Names of data centres in a peer's view keep null characters

Cause: a name was read up to its first null character. The receiver's view then differs from the sender's for good, and is fetched again and again. Ruled out: refusing such a view, which would keep the rest of it from peers. Before: the new test failed, the name came back shorter. After: it passes.

--- a/unittests/platform/operator_documents_test.cpp
+++ b/unittests/platform/operator_documents_test.cpp
@@ -134,3 +134,11 @@
         platform::parse_configuration(R"({"version":)" + nested + "}").ok());
     CHECK_FALSE(platform::parse_view(R"({"as_of":)" + nested + "}").ok());
 }
+
+TEST_CASE("a data centre name with a null character survives a round trip") {
+    routing::operator_view view;
+    view.withdrawn.insert({std::string("z\0a", 3)});
+    const auto read = platform::parse_view(platform::write_view(view));
+    REQUIRE(read.ok());
+    CHECK(read->withdrawn == view.withdrawn);
+}
