Test: odd entries beside those of the targets

Guards against processes that end, or stop following the store, for an entry of another writer. It writes such entries under agents/, flows/ (also at the agents' own keys), servers/ and op/: nested 200,000 deep, numbers too large, ports out of range in keys, null characters, invalid UTF-8, 1 MB. Open flows go on, a route added afterwards is served, and every process gets its version.

--- a/test/harness/platform_standins.py
+++ b/test/harness/platform_standins.py
@@ -123,7 +123,11 @@
 
     def put(self, key, value):
         """Writes an item as an operator would."""
-        self._change([(key, value.encode())], [])
+        self.put_bytes(key, value.encode())
+
+    def put_bytes(self, key, value):
+        """Writes an item with any bytes as another writer would."""
+        self._change([(key, value)], [])
 
     def delete(self, key):
         self._change([], [key])
--- a/test/platform_test.py
+++ b/test/platform_test.py
@@ -148,6 +148,39 @@
         entries = [k for k in self.store.keys("agents/") if late.address in k]
         self.assertEqual(len(entries), 1)
 
+    # Guards against processes that end, or no longer follow the store, for an
+    # entry that another writer has left.
+    def test_odd_entries_do_not_affect_the_others(self):
+        self.start_all()
+        self.wait_ready()
+        processes = self.balancers + self.agents
+        flows = self.open_flows(4)
+        odd_values = (
+            b"[" * 200_000 + b"]" * 200_000,
+            b'{"port":' + b"9" * 400 + b"}",
+            b'{"number":1e999}',
+            b"\xff\xfe\x00" * 100,
+            b"\x00" * 1_000_000,
+            b"",
+        )
+        odd_names = (
+            "10.0.0.1:99999", "10.0.0.1:0", "0.0.0.0:0", "x\x00y", "[" * 90,
+            "\u00ff\u2028",
+        )
+        for prefix in ("agents/", "flows/", "servers/", "op/other/"):
+            for name, value in zip(odd_names, odd_values):
+                self.store.put_bytes(prefix + name, value)
+        for vm in self.agents:
+            self.store.put_bytes("flows/%s:%d" % vm.at("peers"), odd_values[0])
+        added = ("198.18.0.2", 443)
+        self.routes[added] = "portal"
+        self.configure()
+        flow, _ = self.caller.open_with_retries(added, APPLY_BOUND_S)
+        self.assertIsNotNone(flow)
+        self.assert_all_answer(flows, "beside-odd-entries")
+        # A process that has ended or does not follow has no newer version.
+        self.await_version(processes)
+
     def test_compacted_history_does_not_affect_callers(self):
         self.start_all()
         self.wait_ready()
