--- a/unittests/platform/operator_documents_test.cpp
+++ b/unittests/platform/operator_documents_test.cpp
@@ -90,3 +90,55 @@
         CHECK_FALSE(platform::parse_view(text).ok());
     }
 }
+
+TEST_CASE("numbers out of range in a configuration count as the largest "
+          "allowed ones") {
+    const std::string text = R"({"version":1,"routes":[
+        {"host":"10.9.0.1","prefix":"/80/","backend":"b",
+         "timeoutMs":9223372036854775807,"sloMs":-9223372036854775808,
+         "priority":4294967296}],
+        "backends":[{"name":"b","warmupS":1e300,"warmupPerS":1e300,
+         "maxConns":4294967296}],
+        "limits":{"idleTimeoutMs":9223372036854775807}})";
+    const auto read = platform::parse_configuration(text);
+    REQUIRE(read.ok());
+    const support::duration day = support::seconds(86'400);
+    CHECK(read->routes.at(0).timeout == day);
+    CHECK(read->routes.at(0).latency_objective == support::duration{});
+    CHECK(read->routes.at(0).priority == UINT32_MAX);
+    CHECK(read->services.at(0).warm_up == day);
+    CHECK(read->services.at(0).max_flows == UINT32_MAX);
+    CHECK(read->idle_timeout == day);
+}
+
+TEST_CASE("odd items beside valid ones do not keep a configuration from being "
+          "read") {
+    const std::string nested = std::string(50, '[') + std::string(50, ']');
+    const std::string odd =
+        R"({"host":)" + nested + R"(,"prefix":"/80/","backend":"b"})";
+    const std::string text = R"({"version":3,"routes":[)" + odd +
+                             R"(,{"host":"10.9.0.1","prefix":"/80/",)"
+                             R"("backend":"b"}],"backends":[]})";
+    std::size_t skipped = 0;
+    const auto read = platform::parse_configuration(text, &skipped);
+    REQUIRE(read.ok());
+    CHECK(skipped == 1);
+    CHECK(read->routes.size() == 1);
+}
+
+TEST_CASE("a deeply nested view or configuration is refused") {
+    constexpr std::size_t depth = 500'000;
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(
+        platform::parse_configuration(R"({"version":)" + nested + "}").ok());
+    CHECK_FALSE(platform::parse_view(R"({"as_of":)" + nested + "}").ok());
+}
+
+TEST_CASE("a data centre name with a null character survives a round trip") {
+    routing::operator_view view;
+    view.withdrawn.insert({std::string("z\0a", 3)});
+    const auto read = platform::parse_view(platform::write_view(view));
+    REQUIRE(read.ok());
+    CHECK(read->withdrawn == view.withdrawn);
+}
--- a/unittests/platform/server_report_test.cpp
+++ b/unittests/platform/server_report_test.cpp
@@ -96,3 +96,48 @@
         CHECK(platform::failure_response(call.status()).status == 404);
     }
 }
+
+// Guards against a process that ends by itself: the error for an invalid field
+// quotes the value, and writing a value recurses for each level.
+TEST_CASE("a deeply nested field is refused") {
+    constexpr std::size_t depth = 30'000;
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string field :
+         {"\"b1\"", "5", "\"draining\"", "120.5", "[1]"}) {
+        const auto call =
+            platform::read_control_call(report(changed(field, nested)));
+        REQUIRE_FALSE(call.ok());
+        CHECK(support::kind_of(call.status()) ==
+              support::error_kind::invalid_input);
+    }
+    const auto call =
+        platform::read_control_call(report(changed("[1]", R"(["[[{\"[["])")));
+    CHECK(call.ok());
+}
+
+// Guards against a process that exceeds its memory while it parses a report.
+TEST_CASE("the error of a report that is too large names its size") {
+    const std::string large = "[" + std::string(1 << 20, ' ') + "]";
+    const auto call =
+        platform::read_control_call(report(changed("[1]", large)));
+    REQUIRE_FALSE(call.ok());
+    CHECK(std::string(call.status().message()).find("65536") !=
+          std::string::npos);
+}
+
+TEST_CASE("a report with a number out of range is refused") {
+    for (const std::string number :
+         {"1e400", "-1e400", "99999999999999999999", "1e30"}) {
+        for (const std::string field : {"5", "120.5", "4"}) {
+            const auto call =
+                platform::read_control_call(report(changed(field, number)));
+            CHECK_FALSE(call.ok());
+        }
+    }
+    for (const std::string port : {":0", ":65536", ":99999999999", ":-1"}) {
+        const auto call =
+            platform::read_control_call(report(changed(":8080", port)));
+        CHECK_FALSE(call.ok());
+    }
+}
