Fetches that packets wait for have a limited rate

If the fetch fails at once, or brings the same view, a caller that tries addresses without routes sets the rate. Found by reading. Ruled out: the 300 ms of other fetches, which is longer than a caller's copy takes to follow. Before: one fetch for each such opening, one at a time. After: at most ten a second; test in unittest_peer.

--- a/include/guavastair/peer.hpp
+++ b/include/guavastair/peer.hpp
@@ -262,12 +262,17 @@
     step on_summary(support::instant now, const view_summary& ours,
                     const view_summary& theirs, bool may_wait);
 
+    /// Returns whether a view that a packet waits for may be fetched without
+    /// the delay. Limits the rate, as any caller can send such packets.
+    bool allows_urgent_fetch(support::instant now);
+
 private:
     support::duration fetch_delay;
     /// When peers first reported a newer configuration or a newer view, or when
     /// the last fetch was requested.
     std::optional<support::instant> newer_configuration_since;
     std::optional<support::instant> newer_view_since;
+    std::optional<support::instant> last_urgent_fetch;
 };
 
 using message = std::variant<ping, pong, carried_packet, flow_owned,
--- a/include/guavastair/routing.hpp
+++ b/include/guavastair/routing.hpp
@@ -125,8 +125,9 @@
     /// Ignored if `as_of` is older than that of the view in force.
     void confirm(support::revision as_of, support::instant now);
 
-    /// Records that a configuration of this revision exists elsewhere.
-    void announce(support::revision config_revision, support::instant now);
+    /// Records that a configuration of this revision exists elsewhere. Returns
+    /// false, with no effect, if a later one has been announced.
+    bool announce(support::revision config_revision, support::instant now);
 
     /// The latest revision of a configuration that was adopted or announced.
     support::revision announced_configuration() const;
--- a/lib/peer/view_fetch_policy.cpp
+++ b/lib/peer/view_fetch_policy.cpp
@@ -2,6 +2,11 @@
 
 namespace guavastair::peer {
 
+/// Minimum time between two fetches that packets wait for. A caller's copy of
+/// an opening packet follows after 200 ms.
+static constexpr support::duration urgent_fetch_interval =
+    support::milliseconds(100);
+
 view_fetch_policy::view_fetch_policy(support::duration delay)
     : fetch_delay(delay) {}
 
@@ -44,4 +49,13 @@
                                                          : step::none;
 }
 
+bool view_fetch_policy::allows_urgent_fetch(support::instant now) {
+    if (this->last_urgent_fetch.has_value() &&
+        now - *this->last_urgent_fetch < urgent_fetch_interval) {
+        return false;
+    }
+    this->last_urgent_fetch = now;
+    return true;
+}
+
 } // namespace guavastair::peer
--- a/lib/relay/view_synchronizer.cpp
+++ b/lib/relay/view_synchronizer.cpp
@@ -114,11 +114,11 @@
 void view_synchronizer::on_announcement(support::endpoint from,
                                         support::revision config_revision) {
     const support::revision known = this->state.announced_configuration();
-    if (config_revision <= this->state.view().config_revision) {
+    if (config_revision <= this->state.view().config_revision ||
+        !this->state.announce(config_revision, this->context.now())) {
         return;
     }
     this->announcer = from;
-    this->state.announce(config_revision, this->context.now());
     if (config_revision <= known) {
         return;
     }
@@ -137,7 +137,10 @@
 }
 
 void view_synchronizer::fetch_announced_configuration() {
-    if (this->state.is_outdated(this->context.now()) && !this->is_fetching()) {
+    const support::instant now = this->context.now();
+    if (this->context.enabled.has(ablation::mechanism::peer_views) &&
+        this->state.is_outdated(now) && !this->is_fetching() &&
+        this->view_fetch_policy.allows_urgent_fetch(now)) {
         this->fetch_view(this->announcer);
     }
 }
--- a/lib/routing/routing_state.cpp
+++ b/lib/routing/routing_state.cpp
@@ -140,15 +140,16 @@
     this->self->last_confirmed = now;
 }
 
-void routing_state::announce(support::revision config_revision,
+bool routing_state::announce(support::revision config_revision,
                              support::instant now) {
     const bool has_expired =
         now - this->self->announced_at > announcement_lifetime;
     if (config_revision < this->self->announced_revision && !has_expired) {
-        return;
+        return false;
     }
     this->self->announced_revision = config_revision;
     this->self->announced_at = now;
+    return true;
 }
 
 support::revision routing_state::announced_configuration() const {
--- a/unittests/peer/view_fetch_policy_test.cpp
+++ b/unittests/peer/view_fetch_policy_test.cpp
@@ -57,3 +57,13 @@
     CHECK(fetched.ms >= 300);
     CHECK(fetched.ms <= 500);
 }
+
+TEST_CASE("fetches that packets wait for have no delay and a limited rate") {
+    peer::view_fetch_policy policy;
+    int fetches = 0;
+    for (std::int64_t now = 0; now < 1000; ++now) {
+        fetches += policy.allows_urgent_fetch({now}) ? 1 : 0;
+        CHECK(fetches > 0);
+    }
+    CHECK(fetches == 10);
+}
--- a/unittests/routing/routing_state_test.cpp
+++ b/unittests/routing/routing_state_test.cpp
@@ -157,8 +157,8 @@
     CHECK_FALSE(state.is_outdated({0}));
     state.announce({10}, {1});
     CHECK_FALSE(state.is_outdated({1}));
-    state.announce({12}, {1});
-    state.announce({11}, {2});
+    CHECK(state.announce({12}, {1}));
+    CHECK_FALSE(state.announce({11}, {2}));
     CHECK(state.is_outdated({2}));
     CHECK(state.announced_configuration() == support::revision{12});
     const support::instant end =
