Test of the planned stop waits for the agent that it calls

Cause: wait_ready() waits for balancers only. Beside load the server's deregister() came before the agent listened, and was refused. Ruled out: a wrong stop of a process; in all failures seen the call itself was refused before the stop began. The bounds of the stop are unchanged, so the test is as strict as before: a call that is refused after the agent has confirmed a report still fails. The wait of 20 s for balancers is as it was.

--- a/test/harness/platform_fleet.py
+++ b/test/harness/platform_fleet.py
@@ -235,6 +235,14 @@
             "balancers ready",
         )
 
+    def wait_reported(self):
+        """Waits until every agent has confirmed a report of its server."""
+        wait_until(
+            lambda: all(server.confirmed for server in self.servers.values()),
+            READY_WAIT_S,
+            "reports of all servers confirmed",
+        )
+
     def route(self, source):
         """Address of the balancer for `source`, chosen by hash among the
         running balancers; None if there is none."""
--- a/test/platform_test.py
+++ b/test/platform_test.py
@@ -240,6 +240,7 @@
     def test_planned_stop_is_in_time_and_removes_the_agent_entry(self):
         self.start_all()
         self.wait_ready()
+        self.wait_reported()
         leaving = self.agents[0]
         self.assertTrue(self.servers.pop(leaving.name).deregister())
         leaving.process.send(signal.SIGTERM)
