--- a/scripts/version_spread.py
+++ b/scripts/version_spread.py
@@ -8,7 +8,7 @@
 the time at which the first process had it, how many processes learned it from
 the store and from peers, and the delays of the median and of the last process.
 A process that skips a version has it once it has a later one; one that starts
-or resumes is counted from that time on. --over lists every process that was
+later is counted from its last start on. --over lists every process that was
 more than MS later than the first, with its decisions in between; --details
 lists all of them for every process.
 
@@ -17,6 +17,7 @@
 
 import argparse
 import collections
+import math
 import re
 import statistics
 import sys
@@ -92,14 +93,14 @@
     """(delay in ms, node, source or None) of the processes of all nodes."""
     result = []
     for node, runs in processes.items():
-        for run in runs[-1:]:
-            reached = run.time_of(version)
-            begin = max(since, run.started)
-            if reached is None:
-                result.append((None, node, None))
-            else:
-                result.append((max(reached[0] - begin, 0.0) * 1000, node,
-                               reached[1]))
+        run = runs[-1]
+        reached = run.time_of(version)
+        if reached is None:
+            result.append((None, node, None))
+            continue
+        time, source = reached
+        begin = max(since, run.started)
+        result.append((max(time - begin, 0.0) * 1000, node, source))
     return result
 
 
@@ -116,8 +117,9 @@
         description=__doc__.splitlines()[0],
         formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("logs", nargs="+", metavar="LOG")
-    parser.add_argument("--over", type=float, metavar="MS")
-    parser.add_argument("--details", action="store_true")
+    parser.add_argument("--over", type=float, metavar="MS", default=math.inf)
+    parser.add_argument("--details", dest="over", action="store_const",
+                        const=-math.inf)
     arguments = parser.parse_args()
     rows = read_events(arguments.logs)
     processes, first, regressions = collect(rows)
@@ -134,10 +136,8 @@
         print(f"{version:7} {since:8.3f} {from_store:6} "
               f"{len(reached) - from_store:6} {len(never):6} {median:10.0f} "
               f"{reached[-1][0]:8.0f}  {reached[-1][1]}")
-        limit = (-1.0 if arguments.details else
-                 arguments.over if arguments.over is not None else None)
-        for delay, node, source in reached if limit is not None else ():
-            if delay > limit:
+        for delay, node, source in reached:
+            if delay > arguments.over:
                 print(f"    {node} after {delay:.0f} ms from {source}")
                 print_decisions(rows, node, since - 0.001,
                                 since + delay / 1000 + 0.001)
