--- a/test/opening_causes_test.py
+++ b/test/opening_causes_test.py
@@ -1,12 +1,8 @@
 """scripts/opening_causes.py classifies the outcome of each opening."""
 
-import subprocess
-import sys
-import tempfile
 import unittest
-from pathlib import Path
 
-SCRIPT = Path(__file__).resolve().parent.parent / "scripts/opening_causes.py"
+from harness.log_scripts import run_on_log
 
 LINES = """\
 time_ms=1000 level=info node=b event=dispatch caller=1.1.1.1:1 service=9.9.9.9:1 outcome=send basis=opening
@@ -23,15 +19,7 @@
 
 class OpeningCauses(unittest.TestCase):
     def run_on(self, text, *arguments):
-        with tempfile.TemporaryDirectory() as folder:
-            log = Path(folder) / "log"
-            log.write_text(text)
-            return subprocess.run(
-                [sys.executable, SCRIPT, log, *arguments],
-                capture_output=True,
-                text=True,
-                check=False,
-            )
+        return run_on_log("opening_causes.py", text, *arguments)
 
     def test_each_fate_is_counted_once(self):
         done = self.run_on(LINES, "--step", "1")
--- a/test/version_spread_test.py
+++ b/test/version_spread_test.py
@@ -1,12 +1,8 @@
 """scripts/version_spread.py shows how versions reached the processes."""
 
-import subprocess
-import sys
-import tempfile
 import unittest
-from pathlib import Path
 
-SCRIPT = Path(__file__).resolve().parent.parent / "scripts/version_spread.py"
+from harness.log_scripts import run_on_log
 
 LINES = """\
  -1.000 a time_ms=1 level=info node=a event=started role=balancer
@@ -21,15 +17,7 @@
 
 class VersionSpread(unittest.TestCase):
     def run_on(self, text, *arguments):
-        with tempfile.TemporaryDirectory() as folder:
-            log = Path(folder) / "log"
-            log.write_text(text)
-            return subprocess.run(
-                [sys.executable, SCRIPT, log, *arguments],
-                capture_output=True,
-                text=True,
-                check=False,
-            )
+        return run_on_log("version_spread.py", text, *arguments)
 
     def test_source_and_delay_of_the_last_process_are_shown(self):
         done = self.run_on(LINES, "--over", "300")
