Review: show that reports of a start with an earlier born are confirmed and ignored (review/10)

A target whose clock stepped back between two starts is confirmed when it says that it leaves, and still gets openings.

--- a/review/rig.py
+++ b/review/rig.py
@@ -193,8 +193,7 @@
 class Fleet:
     """Balancers and agents; one service and one route."""
 
-    def __init__(self, case_folder, agents=4, balancers=2, backends=None,
-                 route_fields=None):
+    def __init__(self, case_folder, agents=4, balancers=2):
         self.record = Record(case_folder)
         self.scratch = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self.scratch.name)
@@ -225,12 +224,10 @@
             "type": "non_idempotent", "timeoutMs": 2000, "sloMs": 250,
             "priority": 0, "backend": SERVICE, "maxAttempts": 2,
         }
-        route.update(route_fields or {})
         backend = {
             "name": SERVICE, "healthPath": "/healthz", "maxConns": 2000,
             "protocol": "h1", "tls": False, "warmupS": 2.0, "warmupPerS": 0.0,
         }
-        backend.update(backends or {})
         self.store.put("op/config", json.dumps({
             "version": 7, "routes": [route], "backends": [backend],
             "limits": {"idleTimeoutMs": int(IDLE_TIMEOUT_S * 1000)},
@@ -275,22 +272,20 @@
 class Target:
     """A backend target beside an agent, as PROTOCOL.md describes it."""
 
-    def __init__(self, fleet, machine, name=None, capacity=20, warm_up_s=0.0,
-                 idle_discard_s=None):
+    def __init__(self, fleet, machine, name=None, capacity=20,
+                 idle_discard_s=None, clock_ahead_ms=0):
         self.fleet = fleet
         self.machine = machine
         self.name = name or f"i-{random.getrandbits(32):08x}"
         self.capacity = capacity
         self.idle_discard_s = idle_discard_s
-        self.born = int(time.time() * 1000)
-        self.warm_at = time.monotonic() + warm_up_s
+        self.born = int(time.time() * 1000) + clock_ahead_ms
         self.state = "ready"
         self.reports = 0
         self.confirmed = []
         self.flows = {}
         self.ended = set()
         self.openings = []
-        self.arrivals = {}
         self.runs = []
         self.running = True
         self.lock = threading.Lock()
@@ -339,7 +334,6 @@
                     pass
 
     def report_body(self):
-        left = max(0, int((self.warm_at - time.monotonic()) * 1000))
         return {
             "backend": SERVICE,
             "address": "%s:%d" % self.machine.at("app"),
@@ -347,7 +341,7 @@
             "version": "v1",
             "capacity": self.capacity,
             "state": self.state,
-            "warmupLeftMs": left,
+            "warmupLeftMs": 0,
             "seq": self.reports,
             "born": self.born,
         }
@@ -403,7 +397,6 @@
                     "open": False, "answer": None, "used": now,
                 }
                 self.openings.append(now)
-                self.arrivals[key] = now
             flow = self.flows[key]
             self._send(Packet(packet.target, key, SYN | ACK, flow["sequence"],
                               flow["expected"]))
